--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+# The one task file: build, lint, test, demo, and the long runs.
+SHELL := /bin/bash
+FLEET ?= tinjau
+GOFUMPT := go run mvdan.cc/gofumpt@v0.10.0
+LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.12.2
+
+.PHONY: build test lint demo
+
+build: ## builds both programs into bin/
+	go build -ldflags "-X main.release=$$(git describe --always --dirty 2>/dev/null || echo dev)" -o bin/ ./cmd/...
+
+test: build lint ## what CI runs
+	go vet ./...
+	go test ./...
+
+lint: ## format and linter
+	@out=$$($(GOFUMPT) -l .); if [ -n "$$out" ]; then echo "gofumpt differs in:"; echo "$$out"; exit 1; fi
+	$(LINT) run ./...
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,134 @@
+// Standin runs the small stand-ins that take the place of engines, services
+// and the platform in demos and tests, and the load tool.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/standin/batcher"
+	"github.com/mulberrylever/mulberrylever/internal/standin/bookkeeper"
+	"github.com/mulberrylever/mulberrylever/internal/standin/fleetreader"
+	"github.com/mulberrylever/mulberrylever/internal/standin/recorder"
+)
+
+// fleetOptions name a stand-in's place in a fleet.
+type fleetOptions struct {
+	Fleet string `long:"fleet" required:"true" description:"fleet file (JSON with comments)"`
+	Seed  uint64 `long:"seed" default:"1" description:"seed of the random choices"`
+}
+
+type engineCommand struct {
+	fleetOptions
+	ID ml.EndpointID `long:"id" required:"true" description:"endpoint in the fleet file"`
+}
+
+type serviceCommand struct {
+	fleetOptions
+	ID          ml.EndpointID `long:"id" required:"true" description:"endpoint in the fleet file"`
+	Latency     time.Duration `long:"latency" default:"5ms" description:"time that one call takes"`
+	LoseAnswers float64       `long:"lose-answers" description:"share of answers lost after the action, 0 to 1"`
+}
+
+type platformCommand struct {
+	fleetOptions
+}
+
+// Execute runs the stand-in engine. Overload of the cold engine ends it with
+// status 3.
+func (en *engineCommand) Execute([]string) error {
+	fl, ep, err := en.endpoint(en.ID)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signalContext()
+	defer stop()
+	lo := logger()
+	ba := &batcher.Batcher{Fleet: fl, Endpoint: ep, Log: lo}
+	ba.Overloaded = func(running int) {
+		lo.Error("overloaded while cold", "endpoint", ep.ID, "requests", running)
+		reportOverload(fl.Platform.Address, ep.ID)
+		os.Exit(3)
+	}
+	return ba.Run(ctx)
+}
+
+// Execute runs the stand-in service.
+func (se *serviceCommand) Execute([]string) error {
+	_, ep, err := se.endpoint(se.ID)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signalContext()
+	defer stop()
+	bo := &bookkeeper.Bookkeeper{Endpoint: ep, Log: logger(), Latency: se.Latency, LoseAnswers: se.LoseAnswers, Seed: se.Seed}
+	return bo.Run(ctx)
+}
+
+// Execute runs the stand-in platform.
+func (pl *platformCommand) Execute([]string) error {
+	fl, err := fleetreader.Read(pl.Fleet)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signalContext()
+	defer stop()
+	re := &recorder.Recorder{Fleet: fl, Log: logger(), Seed: pl.Seed}
+	return re.Run(ctx)
+}
+
+func (fo fleetOptions) endpoint(id ml.EndpointID) (fleetreader.Fleet, ml.Endpoint, error) {
+	fl, err := fleetreader.Read(fo.Fleet)
+	if err != nil {
+		return fl, ml.Endpoint{}, err
+	}
+	ep, err := fl.Endpoint(id)
+	return fl, ep, err
+}
+
+// reportOverload counts the overload at the platform, where it outlives the
+// engine.
+func reportOverload(platform string, id ml.EndpointID) {
+	const timeout = 300 * time.Millisecond
+	cl := &http.Client{Timeout: timeout}
+	rs, err := cl.Post(fmt.Sprintf("http://%s/overloads?endpoint=%s", platform, id), "", http.NoBody)
+	if err == nil {
+		_ = rs.Body.Close()
+	}
+}
+
+func signalContext() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
+func logger() *slog.Logger { return slog.New(slog.NewJSONHandler(os.Stderr, nil)) }
+
+func main() {
+	pa := flags.NewNamedParser("standin", flags.Default)
+	add(pa, "engine", "run a stand-in engine", &engineCommand{})
+	add(pa, "service", "run a stand-in service", &serviceCommand{})
+	add(pa, "platform", "run the stand-in platform: log, list of VMs, weight store", &platformCommand{})
+	if _, err := pa.Parse(); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(2)
+	}
+}
+
+func add(pa *flags.Parser, name, what string, command any) {
+	if _, err := pa.AddCommand(name, what, what, command); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/internal/adapter/streamer/streamer.go
@@ -0,0 +1,122 @@
+// Package streamer reaches model engines: the usual completions interface
+// with server-sent events, and the engine's own paths for resuming,
+// cancelling, listing and ordering.
+package streamer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/requester"
+)
+
+// Streamer implements ml.Engine.
+type Streamer struct {
+	streams *http.Client
+	calls   requester.Requester
+}
+
+// New returns a client of engines.
+func New() *Streamer {
+	const dial, accept = time.Second, 5 * time.Second
+	const call = 2 * time.Second
+	return &Streamer{
+		streams: requester.NewClient(dial, accept),
+		calls:   requester.Requester{Client: requester.NewClient(dial, call), Step: "call engine"},
+	}
+}
+
+// Generate implements ml.Engine.
+func (st *Streamer) Generate(ctx context.Context, ep ml.Endpoint, ge ml.Generation) (ml.Stream, error) {
+	body, err := json.Marshal(struct {
+		Model     ml.ModelID       `json:"model"`
+		Prompt    string           `json:"prompt"`
+		MaxTokens ml.Tokens        `json:"max_tokens"`
+		Stream    bool             `json:"stream"`
+		RequestID ml.GrantID       `json:"request_id"`
+		Position  ml.Tokens        `json:"position,omitempty"`
+		Generated string           `json:"generated,omitempty"`
+		Priority  int              `json:"priority"`
+		Group     []ml.GroupMember `json:"group,omitempty"`
+		ml.Sampling
+	}{ge.Model, ge.Prompt, ge.MaxTokens, true, ge.ID, ge.Position, ge.Generated, ge.Priority, ge.Group, ge.Sampling})
+	if err != nil {
+		return nil, fmt.Errorf("encode generation: %w", err)
+	}
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+ep.Address+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("generate at %q: %w", ep.ID, err)
+	}
+	rq.Header.Set("Content-Type", "application/json")
+	return st.open(rq, ep, "generate", ge.Position)
+}
+
+// Resume implements ml.Engine.
+func (st *Streamer) Resume(ctx context.Context, ep ml.Endpoint, id ml.GrantID, after ml.Tokens) (ml.Stream, error) {
+	path := fmt.Sprintf("http://%s/v1/streams/%s?after=%d", ep.Address, url.PathEscape(string(id)), after)
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, path, http.NoBody)
+	if err != nil {
+		return nil, fmt.Errorf("resume at %q: %w", ep.ID, err)
+	}
+	return st.open(rq, ep, "resume", after)
+}
+
+// Cancel implements ml.Engine.
+func (st *Streamer) Cancel(ctx context.Context, ep ml.Endpoint, id ml.GrantID) error {
+	return st.calls.Do(ctx, http.MethodDelete, ep.Address, "/v1/streams/"+url.PathEscape(string(id)), nil, nil)
+}
+
+// Reserve implements ml.Engine.
+func (st *Streamer) Reserve(ctx context.Context, ep ml.Endpoint, id ml.GrantID, tokens ml.Tokens) error {
+	return st.calls.Do(ctx, http.MethodPost, ep.Address, "/v1/holds", struct {
+		ID     ml.GrantID `json:"id"`
+		Kind   string     `json:"kind"`
+		Tokens ml.Tokens  `json:"tokens"`
+	}{id, "group", tokens}, nil)
+}
+
+// Report implements ml.Engine.
+func (st *Streamer) Report(ctx context.Context, ep ml.Endpoint) (ml.EngineReport, error) {
+	re := ml.EngineReport{}
+	err := st.calls.Do(ctx, http.MethodGet, ep.Address, "/v1/holds", nil, &re)
+	return re, err
+}
+
+// Load implements ml.Engine.
+func (st *Streamer) Load(ctx context.Context, ep ml.Endpoint) (ml.EngineLoad, error) {
+	lo := ml.EngineLoad{}
+	err := st.calls.Do(ctx, http.MethodGet, ep.Address, "/v1/load", nil, &lo)
+	return lo, err
+}
+
+// Order implements ml.Engine.
+func (st *Streamer) Order(ctx context.Context, ep ml.Endpoint, or ml.Order) error {
+	return st.calls.Do(ctx, http.MethodPost, ep.Address, "/v1/orders", or, nil)
+}
+
+// open sends a request whose answer is a stream of events.
+func (st *Streamer) open(rq *http.Request, ep ml.Endpoint, step string, after ml.Tokens) (ml.Stream, error) {
+	rs, err := st.streams.Do(rq)
+	if err != nil {
+		return nil, &ml.Error{
+			Type: ml.ErrEndpointFailed, Step: step, Peer: string(ep.ID), NotRun: requester.Undialled(err), Err: err,
+		}
+	}
+	if rs.StatusCode != http.StatusOK {
+		defer rs.Body.Close()
+		const maxText = 512
+		text := make([]byte, maxText)
+		n, _ := rs.Body.Read(text)
+		return nil, &ml.Error{
+			Type: ml.ErrEndpointFailed, Step: step, Peer: string(ep.ID), NotRun: true,
+			Err: &requester.StatusError{Status: rs.StatusCode, Text: string(bytes.TrimSpace(text[:n]))},
+		}
+	}
+	return newEventReader(rs, ep.ID, after), nil
+}
--- /dev/null
+++ b/internal/command/server/server.go
@@ -0,0 +1,352 @@
+// Package server assembles one entry VM's process from its duties and runs it
+// until it is told to stop.
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+	"golang.org/x/net/netutil"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/administrator"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/appender"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/invoker"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/lister"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/messenger"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/receiver"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/streamer"
+	"github.com/mulberrylever/mulberrylever/internal/decision/admitter"
+	"github.com/mulberrylever/mulberrylever/internal/decision/router"
+	"github.com/mulberrylever/mulberrylever/internal/duty/claimer"
+	"github.com/mulberrylever/mulberrylever/internal/duty/dispatcher"
+	"github.com/mulberrylever/mulberrylever/internal/duty/follower"
+	"github.com/mulberrylever/mulberrylever/internal/duty/gossiper"
+	"github.com/mulberrylever/mulberrylever/internal/duty/holder"
+	"github.com/mulberrylever/mulberrylever/internal/duty/owner"
+	"github.com/mulberrylever/mulberrylever/internal/duty/watcher"
+	"github.com/mulberrylever/mulberrylever/internal/duty/writer"
+	"github.com/mulberrylever/mulberrylever/internal/setting/loader"
+	"github.com/mulberrylever/mulberrylever/internal/state/auditor"
+	"github.com/mulberrylever/mulberrylever/internal/state/folder"
+	"github.com/mulberrylever/mulberrylever/internal/state/keeper"
+)
+
+// Server runs one entry VM's process.
+type Server struct {
+	Settings loader.Settings
+	Release  string
+	Log      *slog.Logger
+
+	leaving    atomic.Bool
+	keeper     *keeper.Keeper
+	auditor    *auditor.Auditor
+	follower   *follower.Follower
+	writer     *writer.Writer
+	watcher    *watcher.Watcher
+	gossiper   *gossiper.Gossiper
+	owner      *owner.Owner
+	holder     *holder.Holder
+	dispatcher *dispatcher.Dispatcher
+	admitter   *admitter.Admitter
+	peers      *messenger.Messenger
+	receiver   *receiver.Receiver
+
+	stopCallers func(context.Context) error
+	drained     chan struct{} // closed when no request is under way any more
+}
+
+// String names the step in logs.
+func (se *Server) String() string { return "server" }
+
+// listeners holds the open ports.
+type listeners struct {
+	caller, peer, admin net.Listener
+}
+
+// Run serves until SIGTERM or SIGINT, then lets running work end.
+func (se *Server) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := se.assemble(ctx); err != nil {
+		return fmt.Errorf("assemble: %w", err)
+	}
+	li, err := se.listen()
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	gr := run.Group{}
+	for _, duty := range se.duties() {
+		ctx, cancel := context.WithCancel(ctx)
+		gr.Add(func() error { return duty(ctx) }, func(error) { cancel() })
+	}
+	se.addServers(&gr, li)
+	gr.Add(func() error { return se.waitForStop(ctx) }, func(error) { cancel() })
+	err = gr.Run()
+	se.peers.Close()
+	if err != nil && !errors.Is(err, errStopped) {
+		return fmt.Errorf("run: %w", err)
+	}
+	se.Log.Info("stopped")
+	return nil
+}
+
+// errStopped ends the process in good order.
+var errStopped = errors.New("stopped")
+
+// assemble makes the duties and connects them.
+func (se *Server) assemble(ctx context.Context) error {
+	ss, ti := se.Settings, ml.DefaultTiming()
+	se.drained = make(chan struct{})
+	peerTLS, err := peerTLS(ss.PeerTLS)
+	if err != nil {
+		return fmt.Errorf("peer TLS: %w", err)
+	}
+	self := ml.EntryVM{ID: ss.VM, Domain: ss.Domain, PeerAddress: ss.PeerAddress, AdminAddress: ss.AdminAddress, State: ml.StateLive}
+	se.auditor = &auditor.Auditor{Log: se.Log, Fatal: ss.FatalViolations}
+	se.keeper = &keeper.Keeper{Auditor: se.auditor}
+	log := appender.New(ss.Platform)
+	se.peers = &messenger.Messenger{TLS: peerTLS}
+	se.follower = follower.New(log, se.keeper, se.Log)
+	se.writer = writer.New(log, se.Log)
+	se.watcher = &watcher.Watcher{
+		List: lister.New(ss.Platform), Peers: se.peers, Keeper: se.keeper, Neighbours: ss.Neighbours,
+		Adopt: se.follower.Adopt, Log: se.Log,
+	}
+	co := se.keeper.View().Config.Routing
+	table := router.NewTable(ss.Domain, router.ByName(co.Policy), co.Candidates, uint64(time.Now().UnixNano()))
+	se.gossiper = gossiper.New(self, ti, table)
+	se.gossiper.Peers, se.gossiper.Keeper, se.gossiper.Log = se.peers, se.keeper, se.Log
+	se.gossiper.Adopt, se.gossiper.Leaving = se.follower.Adopt, se.leaving.Load
+	engine := streamer.New()
+	se.owner = &owner.Owner{
+		Self: ss.VM, Timing: ti, Engine: engine, Membership: se.gossiper, Keeper: se.keeper, Auditor: se.auditor, Log: se.Log,
+	}
+	se.gossiper.Loads = se.owner.Loads
+	se.holder = holder.New(ctx, ss.VM, ti)
+	se.holder.Peers, se.holder.Routes, se.holder.Owner, se.holder.Log = se.peers, se.gossiper, se.owner, se.Log
+	se.dispatcher = &dispatcher.Dispatcher{
+		Self: ss.VM, Engine: engine, Service: invoker.New(), Holder: se.holder, Routes: se.gossiper,
+		Keeper: se.keeper, Auditor: se.auditor, Log: se.Log,
+	}
+	se.admitter = &admitter.Admitter{MaxBytes: ss.Limits.MaxInFlightBytes}
+	se.receiver = &receiver.Receiver{
+		Settings: ss, Keeper: se.keeper, Admitter: se.admitter, Dispatcher: se.dispatcher,
+		Claimer: &claimer.Claimer{Self: ss.VM, Follower: se.follower, Writer: se.writer, Auditor: se.auditor, Log: se.Log},
+		Models:  se.models, Observer: observer{}, Log: se.Log,
+	}
+	return nil
+}
+
+// duties lists the loops of the process.
+func (se *Server) duties() []func(context.Context) error {
+	return []func(context.Context) error{
+		se.follower.Run, se.writer.Run, se.watcher.Run, se.gossiper.Run, se.owner.Run, se.holder.Run, se.runSnapshots,
+	}
+}
+
+// runSnapshots appends a snapshot of the fleet state whenever one is due.
+func (se *Server) runSnapshots(ctx context.Context) error {
+	ti := time.NewTicker(time.Second)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ti.C:
+			if rec, due := se.follower.Snapshot(now); due {
+				const offered = time.Minute
+				offer, cancel := context.WithTimeout(ctx, offered)
+				context.AfterFunc(offer, cancel)
+				se.writer.Put(offer, rec)
+			}
+		}
+	}
+}
+
+func (se *Server) listen() (listeners, error) {
+	li := listeners{}
+	var err error
+	if li.caller, err = net.Listen("tcp", se.Settings.CallerAddress); err != nil {
+		return li, fmt.Errorf("caller address: %w", err)
+	}
+	if li.peer, err = net.Listen("tcp", se.Settings.PeerAddress); err != nil {
+		return li, fmt.Errorf("peer address: %w", err)
+	}
+	if li.admin, err = net.Listen("tcp", se.Settings.AdminAddress); err != nil {
+		return li, fmt.Errorf("admin address: %w", err)
+	}
+	li.caller = netutil.LimitListener(li.caller, se.Settings.Limits.MaxConnections)
+	if se.peers.TLS != nil {
+		li.peer = tls.NewListener(li.peer, se.peers.TLS)
+	}
+	return li, nil
+}
+
+// addServers adds the three servers. The callers' one is stopped by
+// waitForStop, in good order.
+func (se *Server) addServers(gr *run.Group, li listeners) {
+	callers := &http.Server{
+		Handler: se.receiver.Handler(), MaxHeaderBytes: se.Settings.Limits.MaxHeaderBytes,
+		ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
+	}
+	se.stopCallers = callers.Shutdown
+	tl := se.Settings.CallerTLS
+	gr.Add(func() error {
+		var err error
+		if tl.CertFile != "" {
+			err = callers.ServeTLS(li.caller, tl.CertFile, tl.KeyFile)
+		} else {
+			err = callers.Serve(li.caller)
+		}
+		if errors.Is(err, http.ErrServerClosed) {
+			<-se.drained
+			return errStopped
+		}
+		return fmt.Errorf("serve callers: %w", err)
+	}, func(error) { _ = callers.Close() })
+	peers := &messenger.Server{Handler: handler{se}}
+	gr.Add(func() error { return peers.Serve(li.peer) }, func(error) { _ = li.peer.Close() })
+	ad := &administrator.Administrator{Key: se.Settings.AdminKey, Status: se.status, Fleet: se.fleet, Burn: se.burn}
+	admin := &http.Server{Handler: ad.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	gr.Add(func() error { return admin.Serve(li.admin) }, func(error) { _ = admin.Close() })
+}
+
+// waitForStop waits for a signal and lets running work end: not ready at
+// once, no more ownership, then no new connections, then the end of what runs.
+func (se *Server) waitForStop(ctx context.Context) error {
+	sig := make(chan os.Signal, 1)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(sig)
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-sig:
+	}
+	se.Log.Info("stopping", "inFlight", se.admitter.InFlight())
+	se.leaving.Store(true)
+	sleep(ctx, time.Duration(se.Settings.Limits.DrainMs)*time.Millisecond)
+	se.admitter.Close()
+	err := se.stopCallers(ctx)
+	close(se.drained)
+	_ = se.auditor.Check(auditor.GracefulStop, err == nil && se.admitter.InFlight() == 0,
+		"stopped with %d requests under way: %v", se.admitter.InFlight(), err)
+	return errStopped
+}
+
+// status is what this VM says of itself.
+func (se *Server) status(now time.Time) administrator.Status {
+	st := administrator.Status{
+		VM: se.Settings.VM, Domain: se.Settings.Domain, Release: se.Release, Version: se.keeper.View().Fleet.Version,
+		LogHealthy: se.follower.Healthy(now), InFlight: se.admitter.InFlight(), Grants: se.holder.InUse(),
+		Alive: se.gossiper.Alive(now), Owned: se.owner.Loads(now), Alerts: []string{},
+	}
+	st.Why = se.notReady(now)
+	st.Ready = st.Why == ""
+	return st
+}
+
+func (se *Server) notReady(now time.Time) string {
+	vi := se.keeper.View()
+	switch {
+	case se.leaving.Load():
+		return "this VM is stopping"
+	case !se.keeper.Known():
+		return "neither the platform nor a neighbour has told configuration and VMs"
+	case vi.Fleet.VMIsOut(string(se.Settings.VM)):
+		return "this VM is out of service"
+	case vi.Fleet.DomainIsOut(se.Settings.Domain):
+		return "this failure domain is out of service"
+	case se.gossiper.Observing(now):
+		return "this VM does not know its failure domain yet"
+	}
+	return ""
+}
+
+func (se *Server) fleet() *folder.Fleet { return se.keeper.View().Fleet }
+
+func (se *Server) models() []ml.ModelID {
+	out := []ml.ModelID{}
+	se.gossiper.Route(func(ta *router.Table) { out = ta.Models() })
+	return out
+}
+
+// handler answers other entry VMs.
+type handler struct{ se *Server }
+
+// OnHeartbeat implements ml.PeerHandler.
+func (ha handler) OnHeartbeat(hb ml.Heartbeat) ml.HeartbeatAck { return ha.se.gossiper.OnHeartbeat(hb) }
+
+// OnReserve implements ml.PeerHandler.
+func (ha handler) OnReserve(ctx context.Context, re ml.Reservation) ml.Grant {
+	return ha.se.owner.OnReserve(ctx, re)
+}
+
+// OnTell implements ml.PeerHandler.
+func (ha handler) OnTell(news []ml.GrantNews) { ha.se.owner.OnTell(news) }
+
+// OnState implements ml.PeerHandler.
+func (ha handler) OnState() (ml.NodeState, error) {
+	fl := ha.se.follower.State()
+	if fl == nil {
+		return ml.NodeState{}, errors.New("this VM has no state yet")
+	}
+	data, err := json.Marshal(fl)
+	if err != nil {
+		return ml.NodeState{}, fmt.Errorf("encode state: %w", err)
+	}
+	return ml.NodeState{Fleet: data, VMs: ha.se.keeper.VMs()}, nil
+}
+
+// peerTLS returns the configuration for connections between entry VMs, or nil
+// for plain TCP. Both sides show a certificate of the same authority.
+func peerTLS(tl loader.TLS) (*tls.Config, error) {
+	if tl.CertFile == "" {
+		return nil, nil //nolint:nilnil // nil is plain TCP
+	}
+	cert, err := tls.LoadX509KeyPair(tl.CertFile, tl.KeyFile)
+	if err != nil {
+		return nil, fmt.Errorf("load certificate: %w", err)
+	}
+	pem, err := os.ReadFile(tl.CAFile)
+	if err != nil {
+		return nil, fmt.Errorf("read authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("no certificate in %q", tl.CAFile)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert}, RootCAs: pool, ClientCAs: pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// observer drops what it is told.
+type observer struct{}
+
+// Observe implements receiver.Observer.
+func (observer) Observe(time.Time, receiver.Entry) {}
+
+// burn is empty until objectives are recorded.
+func (se *Server) burn(time.Time) any { return struct{}{} }
--- /dev/null
+++ b/internal/decision/router/table.go
@@ -0,0 +1,288 @@
+package router
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	ml "github.com/mulberrylever/mulberrylever"
+)
+
+const (
+	// staleAfter is the time after which a load that was not renewed no
+	// longer makes its endpoint a candidate.
+	staleAfter = 3 * time.Second
+	// maxHints bounds the prefixes whose last endpoint is remembered.
+	maxHints = 8192
+	// longSetInterval is the time between two computations of the sets.
+	longSetInterval = time.Second
+)
+
+// group holds the endpoints that serve one model or service.
+type group struct {
+	all    []*Candidate
+	long   int // how many at the end of all take long prompts
+	counts [2]float64
+	sized  time.Time
+}
+
+// Table holds the candidates. It is not safe for concurrent use.
+type Table struct {
+	Home       ml.DomainID
+	Policy     Policy
+	Candidates int // looked at per request
+
+	groups map[string]*group
+	byID   map[ml.EndpointID]*Candidate
+	hints  map[uint64]ml.EndpointID
+	rng    *rand.Rand
+}
+
+// NewTable returns an empty table.
+func NewTable(home ml.DomainID, po Policy, candidates int, seed uint64) *Table {
+	return &Table{
+		Home: home, Policy: po, Candidates: candidates,
+		groups: make(map[string]*group), byID: make(map[ml.EndpointID]*Candidate),
+		hints: make(map[uint64]ml.EndpointID), rng: rand.New(rand.NewPCG(seed, 3)),
+	}
+}
+
+// Update records an endpoint's load as its owner sent it.
+func (ta *Table) Update(now time.Time, ep ml.Endpoint, owner ml.VMID, lo ml.EndpointLoad) {
+	ca := ta.byID[ep.ID]
+	if ca == nil {
+		ca = &Candidate{}
+		ta.byID[ep.ID] = ca
+		gp := ta.group(key(ep.Model, ep.Service))
+		gp.insert(ca, ep.ID)
+	}
+	ca.Endpoint, ca.Owner, ca.Load, ca.Heard = ep, owner, lo, now
+	ca.Added, ca.AddedReq = 0, 0
+}
+
+// Remove drops an endpoint: it is leaving, gone or out of service.
+func (ta *Table) Remove(id ml.EndpointID) {
+	ca := ta.byID[id]
+	if ca == nil {
+		return
+	}
+	delete(ta.byID, id)
+	gp := ta.group(key(ca.Endpoint.Model, ca.Endpoint.Service))
+	gp.all = slices.DeleteFunc(gp.all, func(other *Candidate) bool { return other == ca })
+}
+
+// Retain drops the endpoints that keep returns false for.
+func (ta *Table) Retain(keep func(ml.EndpointID) bool) {
+	for id := range ta.byID {
+		if !keep(id) {
+			ta.Remove(id)
+		}
+	}
+}
+
+// Owner returns the owner of an endpoint as heard last, or "".
+func (ta *Table) Owner(id ml.EndpointID) ml.VMID {
+	if ca := ta.byID[id]; ca != nil {
+		return ca.Owner
+	}
+	return ""
+}
+
+// Pick returns the endpoint to offer re to, not one of avoid. The second
+// result is false when there is none.
+func (ta *Table) Pick(now time.Time, re Request, avoid []ml.EndpointID) (*Candidate, bool) {
+	re.Home = ta.Home
+	gp := ta.groups[key(re.Model, re.Service)]
+	if gp == nil || len(gp.all) == 0 {
+		return nil, false
+	}
+	gp.resize(now)
+	ta.count(gp, re)
+	cands := ta.sample(now, re, gp, avoid)
+	if len(cands) == 0 {
+		return nil, false
+	}
+	ca := cands[ta.Policy.Pick(ta.rng, re, cands)]
+	return ca, true
+}
+
+// Offered records that re is being offered to the endpoint.
+func (ta *Table) Offered(id ml.EndpointID, re Request) {
+	if ca := ta.byID[id]; ca != nil {
+		ca.InFlight++
+		ca.AddedReq++
+		ca.Added += re.Prompt
+		if re.Prefix != 0 {
+			ta.remember(re.Prefix, id)
+		}
+	}
+}
+
+// Ended records that a request offered to the endpoint has ended.
+func (ta *Table) Ended(id ml.EndpointID) {
+	if ca := ta.byID[id]; ca != nil {
+		ca.InFlight--
+	}
+}
+
+// Serves tells whether any endpoint for the model or service is known.
+func (ta *Table) Serves(mo ml.ModelID, se ml.ServiceName) bool {
+	gp := ta.groups[key(mo, se)]
+	return gp != nil && len(gp.all) > 0
+}
+
+// Models returns the models with at least one endpoint.
+func (ta *Table) Models() []ml.ModelID {
+	out := []ml.ModelID{}
+	for _, gp := range ta.groups {
+		if len(gp.all) > 0 && gp.all[0].Endpoint.Kind == ml.KindEngine {
+			out = append(out, gp.all[0].Endpoint.Model)
+		}
+	}
+	return out
+}
+
+// Largest returns the memory of the largest engine for a model.
+func (ta *Table) Largest(mo ml.ModelID) ml.Tokens {
+	most := ml.Tokens(0)
+	if gp := ta.groups[key(mo, "")]; gp != nil {
+		for _, ca := range gp.all {
+			most = max(most, ca.Endpoint.Memory)
+		}
+	}
+	return most
+}
+
+// Members returns the fresh engines for a model by failure domain, for
+// choosing a group.
+func (ta *Table) Members(now time.Time, mo ml.ModelID) map[ml.DomainID][]*Candidate {
+	out := make(map[ml.DomainID][]*Candidate)
+	if gp := ta.groups[key(mo, "")]; gp != nil {
+		for _, ca := range gp.all {
+			if now.Sub(ca.Heard) < staleAfter {
+				out[ca.Endpoint.Domain] = append(out[ca.Endpoint.Domain], ca)
+			}
+		}
+	}
+	return out
+}
+
+// sample returns a few fresh candidates: the one that saw the prefix last and
+// others at random, from the set for the request's length first.
+func (ta *Table) sample(now time.Time, re Request, gp *group, avoid []ml.EndpointID) []*Candidate {
+	out := make([]*Candidate, 0, ta.Candidates)
+	add := func(ca *Candidate) {
+		if len(out) < ta.Candidates && usable(now, re, ca, avoid) && !slices.Contains(out, ca) {
+			out = append(out, ca)
+		}
+	}
+	if ca := ta.byID[ta.hints[re.Prefix]]; ca != nil && re.Prefix != 0 {
+		add(ca)
+	}
+	from, to := gp.set(re.Length)
+	tries := 4 * ta.Candidates
+	for i := 0; i < tries && len(out) < ta.Candidates; i++ {
+		add(gp.all[from+ta.rng.IntN(to-from)])
+	}
+	for i := 0; i < tries && len(out) == 0; i++ {
+		add(gp.all[ta.rng.IntN(len(gp.all))])
+	}
+	if len(out) > 0 {
+		return out
+	}
+	// Few are usable: go through a bounded run of them.
+	const maxRun = 64
+	start := ta.rng.IntN(len(gp.all))
+	for i := range min(len(gp.all), maxRun) {
+		add(gp.all[(start+i)%len(gp.all)])
+	}
+	return out
+}
+
+func usable(now time.Time, re Request, ca *Candidate, avoid []ml.EndpointID) bool {
+	if now.Sub(ca.Heard) >= staleAfter || (ca.Endpoint.Kind == ml.KindEngine && re.Memory > ca.Endpoint.Memory) {
+		return false
+	}
+	return !slices.Contains(avoid, ca.Endpoint.ID)
+}
+
+// insert keeps the endpoints in the order of the hashes of their ids, so that
+// all entry VMs agree on the sets and each set is spread over the domains.
+func (gp *group) insert(ca *Candidate, id ml.EndpointID) {
+	ca.order = xxhash.Sum64String(string(id))
+	at, _ := slices.BinarySearchFunc(gp.all, ca.order, func(other *Candidate, order uint64) int {
+		return cmp.Compare(other.order, order)
+	})
+	gp.all = slices.Insert(gp.all, at, ca)
+}
+
+// set returns the range of endpoints for a length: long prompts gather at the
+// end, all others go before them.
+func (gp *group) set(le ml.Length) (from, to int) {
+	n := len(gp.all)
+	if gp.long == 0 || gp.long >= n {
+		return 0, n
+	}
+	if le >= ml.Long {
+		return n - gp.long, n
+	}
+	return 0, n - gp.long
+}
+
+// count keeps decaying sums of the prompt tokens by kind of length.
+func (ta *Table) count(gp *group, re Request) {
+	i := 0
+	if re.Length >= ml.Long {
+		i = 1
+	}
+	gp.counts[i] += float64(re.Prompt)
+}
+
+// resize sets how many endpoints take long prompts by their share of the
+// work.
+func (gp *group) resize(now time.Time) {
+	if now.Sub(gp.sized) < longSetInterval {
+		return
+	}
+	gp.sized = now
+	const decay = 0.9
+	gp.counts[0] *= decay
+	gp.counts[1] *= decay
+	all := gp.counts[0] + gp.counts[1]
+	n := len(gp.all)
+	if n < 2 || gp.counts[1] == 0 || all == 0 {
+		gp.long = 0
+		return
+	}
+	want := int(float64(n)*gp.counts[1]/all + 0.5)
+	gp.long = min(max(want, 1), n-1)
+}
+
+func (ta *Table) remember(prefix uint64, id ml.EndpointID) {
+	if len(ta.hints) >= maxHints {
+		for old := range ta.hints {
+			delete(ta.hints, old)
+			break
+		}
+	}
+	ta.hints[prefix] = id
+}
+
+func (ta *Table) group(k string) *group {
+	gp := ta.groups[k]
+	if gp == nil {
+		gp = &group{}
+		ta.groups[k] = gp
+	}
+	return gp
+}
+
+func key(mo ml.ModelID, se ml.ServiceName) string {
+	if se != "" {
+		return "service/" + string(se)
+	}
+	return "model/" + string(mo)
+}
--- /dev/null
+++ b/internal/duty/dispatcher/call.go
@@ -0,0 +1,82 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/router"
+	"github.com/mulberrylever/mulberrylever/internal/duty/holder"
+)
+
+// serviceWeight is the size of a service call in queues that count tokens.
+const serviceWeight ml.Tokens = 1
+
+// Call carries an idempotent call to a plain service. It is repeated on
+// another endpoint when one fails.
+func (di *Dispatcher) Call(ctx context.Context, rq *Request, service ml.ServiceName, sc ml.ServiceCall) (ml.ServiceAnswer, error) {
+	ctx, cancel := context.WithDeadline(ctx, rq.Deadline)
+	defer cancel()
+	di.Budget.Admitted(di.Keeper.View().Config.Retries.BudgetPerCent)
+	an := ml.ServiceAnswer{}
+	err := di.attempt(ctx, rq, func(ctx context.Context, avoid []ml.EndpointID) (ml.EndpointID, error) {
+		got, failed, err := di.callOnce(ctx, rq, service, sc, avoid, func(time.Time) error { return nil })
+		an = got
+		return failed, err
+	})
+	return an, err
+}
+
+// CallOnce carries a call that may not be repeated. Another endpoint is tried
+// only while it is certain that no byte has left.
+func (di *Dispatcher) CallOnce(
+	ctx context.Context, rq *Request, service ml.ServiceName, sc ml.ServiceCall, mayRun func(time.Time) error,
+) (ml.ServiceAnswer, error) {
+	ctx, cancel := context.WithDeadline(ctx, rq.Deadline)
+	defer cancel()
+	an, _, err := di.callOnce(ctx, rq, service, sc, nil, mayRun)
+	if err != nil {
+		er := *ml.AsError("call service", err)
+		er.NotRun = !rq.mayRun
+		return an, &er
+	}
+	return an, nil
+}
+
+func (di *Dispatcher) callOnce(
+	ctx context.Context, rq *Request, service ml.ServiceName, sc ml.ServiceCall, avoid []ml.EndpointID, mayRun func(time.Time) error,
+) (ml.ServiceAnswer, ml.EndpointID, error) {
+	he, err := di.placeOne(ctx, rq, router.Request{Service: service, Prompt: serviceWeight}, avoid)
+	if err != nil {
+		return ml.ServiceAnswer{}, "", err
+	}
+	defer di.ended(he.Endpoint.ID)
+	an, ou, err := di.invoke(ctx, rq, he, sc, mayRun)
+	he.Release(ou)
+	return an, he.Endpoint.ID, err
+}
+
+func (di *Dispatcher) invoke(
+	ctx context.Context, rq *Request, he *holder.Held, sc ml.ServiceCall, mayRun func(time.Time) error,
+) (ml.ServiceAnswer, ml.GrantOutcome, error) {
+	now := time.Now()
+	if err := he.Usable(now); err != nil {
+		return ml.ServiceAnswer{}, ml.Unsent, err
+	}
+	if err := mayRun(now); err != nil {
+		return ml.ServiceAnswer{}, ml.Unsent, err
+	}
+	di.checkInService(now, he.Endpoint)
+	he.Confirm("")
+	an, err := di.Service.Call(ctx, he.Endpoint, sc)
+	if err == nil {
+		rq.mayRun = true
+		return an, ml.Completed, nil
+	}
+	rq.mayRun = rq.mayRun || !ml.AsError("call service", err).NotRun
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return an, ml.Cancelled, err
+	}
+	return an, ml.Broken, err
+}
--- /dev/null
+++ b/internal/duty/dispatcher/dispatcher.go
@@ -0,0 +1,211 @@
+// Package dispatcher carries a request from its admission to its last token:
+// route, reserve, send, stream, release; and on trouble resumes it on the same
+// engine or goes on elsewhere.
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/budgeter"
+	"github.com/mulberrylever/mulberrylever/internal/decision/router"
+	"github.com/mulberrylever/mulberrylever/internal/duty/holder"
+	"github.com/mulberrylever/mulberrylever/internal/state/auditor"
+	"github.com/mulberrylever/mulberrylever/internal/state/keeper"
+)
+
+// Routes holds the routing table.
+type Routes interface {
+	Route(use func(ta *router.Table))
+}
+
+// Sink takes the answer of one request.
+type Sink interface {
+	// Token takes the next token and the place that it came from. An error
+	// means that the caller is gone.
+	Token(ch ml.Chunk, from Source) error
+}
+
+// Source tells where a token came from, so that a caller can resume.
+type Source struct {
+	Endpoint ml.EndpointID
+	Grant    ml.GrantID
+}
+
+// Request is one admitted prompt.
+type Request struct {
+	ID        ml.RequestID
+	Team      ml.TeamID
+	Model     ml.ModelID
+	Prompt    string
+	MaxTokens ml.Tokens
+	Sampling  ml.Sampling
+	Deadline  time.Time
+	Resume    Source    // where an earlier connection was reading
+	Position  ml.Tokens // tokens the caller already has
+
+	// Worked out on the way.
+	Length   ml.Length
+	Tokens   ml.Tokens
+	Arrived  time.Time
+	First    time.Time // first token passed on
+	Last     time.Time // newest token passed on
+	Attempts int
+	Cached   ml.Tokens
+	Counted  ml.Tokens // the engine's count of the prompt
+	mayRun   bool      // something may have run
+	text     []byte    // passed on so far
+	skip     ml.Tokens // tokens that the caller has from an earlier connection
+	prefix   uint64
+}
+
+// Dispatcher carries requests.
+type Dispatcher struct {
+	Self    ml.VMID
+	Engine  ml.Engine
+	Service ml.Service
+	Holder  *holder.Holder
+	Routes  Routes
+	Keeper  *keeper.Keeper
+	Auditor *auditor.Auditor
+	Budget  budgeter.Budgeter
+	Log     *slog.Logger
+}
+
+// String names the step in logs.
+func (di *Dispatcher) String() string { return "dispatcher" }
+
+// Generate carries a prompt. It returns once the whole answer was passed to
+// the sink, or with an error that tells whether anything may have run.
+func (di *Dispatcher) Generate(ctx context.Context, rq *Request, si Sink) error {
+	ctx, cancel := context.WithDeadline(ctx, rq.Deadline)
+	defer cancel()
+	di.prepare(rq)
+	if di.reconnect(ctx, rq, si) {
+		return nil
+	}
+	return di.attempt(ctx, rq, func(ctx context.Context, avoid []ml.EndpointID) (ml.EndpointID, error) {
+		return di.generateOnce(ctx, rq, si, avoid)
+	})
+}
+
+// prepare works out what routing needs to know.
+func (di *Dispatcher) prepare(rq *Request) {
+	co := di.Keeper.View().Config
+	rq.Tokens = ml.EstimateTokens(rq.Prompt)
+	rq.Length = co.LengthOf(rq.Tokens)
+	const prefixBytes = 1024 * ml.BytesPerToken
+	if len(rq.Prompt) >= prefixBytes {
+		rq.prefix = xxhash.Sum64String(rq.Prompt[:prefixBytes])
+	}
+	di.Budget.Admitted(co.Retries.BudgetPerCent)
+}
+
+// attempt calls once until it succeeds, within the retry budget and the
+// deadline.
+func (di *Dispatcher) attempt(ctx context.Context, rq *Request, once func(context.Context, []ml.EndpointID) (ml.EndpointID, error)) error {
+	re := di.Keeper.View().Config.Retries
+	avoid := []ml.EndpointID{}
+	for {
+		rq.Attempts++
+		failed, err := once(ctx, avoid)
+		if err == nil {
+			return nil
+		}
+		er := ml.AsError("serve request", err)
+		if !di.mayRetry(ctx, rq, er, re.MaxAttempts) {
+			return di.final(ctx, rq, er)
+		}
+		di.Log.Info("retry", "request", rq.ID, "team", rq.Team, "step", er.Step, "peer", er.Peer, "position", rq.Position, "error", er.Err)
+		if failed != "" {
+			avoid = append(avoid, failed)
+		}
+		wait := budgeter.Delay(time.Duration(re.BaseDelayMs)*time.Millisecond, rq.Attempts)
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (di *Dispatcher) mayRetry(ctx context.Context, rq *Request, er *ml.Error, maxAttempts int) bool {
+	if ctx.Err() != nil || rq.Attempts >= maxAttempts {
+		return false
+	}
+	switch er.Type {
+	case ml.ErrEndpointFailed, ml.ErrUnavailable, ml.ErrEndpointNotFound:
+		return di.Budget.Retry()
+	default:
+		return false
+	}
+}
+
+// final returns the error that the caller gets.
+func (di *Dispatcher) final(ctx context.Context, rq *Request, er *ml.Error) error {
+	out := *er
+	out.NotRun = !rq.mayRun
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		out.Type = ml.ErrDeadline
+		out.RetryAfter = 0
+	}
+	if out.Type == ml.ErrUnavailable || out.Type == ml.ErrEndpointNotFound {
+		out.Type = ml.ErrUnavailable
+		out.RetryAfter = max(out.RetryAfter, time.Duration(di.Keeper.View().Config.Retries.RetryAfterMs)*time.Millisecond)
+	}
+	_ = di.Auditor.Check(auditor.NotRunTrue, !out.NotRun || rq.Position == 0 || rq.Resume.Grant != "",
+		"request %s: not run, with %d tokens passed on", rq.ID, rq.Position)
+	return &out
+}
+
+// generateOnce makes one attempt. It returns the endpoint that failed.
+func (di *Dispatcher) generateOnce(ctx context.Context, rq *Request, si Sink, avoid []ml.EndpointID) (ml.EndpointID, error) {
+	he, group, err := di.place(ctx, rq, avoid)
+	if err != nil {
+		return "", err
+	}
+	defer group.dissolve(di)
+	defer di.ended(he.Endpoint.ID)
+	ou, err := di.send(ctx, rq, si, he, group)
+	if ou != ml.Completed && ou != ml.Unsent {
+		di.cancel(he)
+	}
+	he.Release(ou)
+	return he.Endpoint.ID, err
+}
+
+// cancel frees what the engine has of a grant. The caller may be gone, so the
+// call has a time of its own.
+func (di *Dispatcher) cancel(he *holder.Held) {
+	const timeout = 2 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if err := di.Engine.Cancel(ctx, he.Endpoint, he.ID); err != nil {
+		di.Log.Debug("cancel", "endpoint", he.Endpoint.ID, "grant", he.ID, "error", err)
+	}
+}
+
+func (di *Dispatcher) ended(id ml.EndpointID) {
+	di.Routes.Route(func(ta *router.Table) { ta.Ended(id) })
+}
+
+// checkInService asserts that work goes to endpoints in service only. The
+// owner has checked it before; news of an operator's change may cross the
+// grant, so only a change older than a few seconds counts.
+func (di *Dispatcher) checkInService(now time.Time, ep ml.Endpoint) {
+	const grace = 3 * time.Second
+	for _, ou := range di.Keeper.View().Fleet.DomainsOut {
+		_ = di.Auditor.Check(auditor.DomainOut, ou.Name != string(ep.Domain) || now.Sub(ou.At) < grace,
+			"endpoint %s gets work, domain %s is out since %v", ep.ID, ep.Domain, ou.At)
+	}
+	_ = di.Auditor.Check(auditor.DomainOut, true, "")
+}
+
+func grantID(rq *Request, part int) ml.GrantID {
+	return ml.GrantID(fmt.Sprintf("%s.%d.%d", rq.ID, rq.Attempts, part))
+}
--- /dev/null
+++ b/internal/duty/dispatcher/place.go
@@ -0,0 +1,117 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/router"
+	"github.com/mulberrylever/mulberrylever/internal/duty/holder"
+)
+
+const (
+	// minPatience is the shortest time that a request waits in the queue of
+	// one endpoint before it tries another.
+	minPatience = 300 * time.Millisecond
+	// tokenTime is the time assumed for one token of an answer when a
+	// deadline is judged.
+	tokenTime = 5 * time.Millisecond
+	// judgedTokens bounds the tokens counted in that judgement: answers are
+	// often shorter than their limit.
+	judgedTokens = 64
+)
+
+// place finds an endpoint and gets a grant for it, and for a prompt larger
+// than one engine a group with it.
+func (di *Dispatcher) place(ctx context.Context, rq *Request, avoid []ml.EndpointID) (*holder.Held, *group, error) {
+	memory := rq.Tokens + rq.MaxTokens
+	largest, serves := ml.Tokens(0), false
+	di.Routes.Route(func(ta *router.Table) {
+		largest, serves = ta.Largest(rq.Model), ta.Serves(rq.Model, "")
+	})
+	if !serves {
+		return nil, nil, &ml.Error{
+			Type: ml.ErrUnavailable, Step: "route", NotRun: true,
+			Err: fmt.Errorf("no engine for model %q is in service", rq.Model),
+		}
+	}
+	if memory > largest {
+		return di.placeGroup(ctx, rq, memory)
+	}
+	he, err := di.placeOne(ctx, rq, router.Request{
+		Model: rq.Model, Length: rq.Length, Prompt: rq.Tokens, Memory: memory, Prefix: rq.prefix,
+	}, avoid)
+	return he, nil, err
+}
+
+// placeOne asks the owners of a few endpoints, one after the other, until one
+// grants.
+func (di *Dispatcher) placeOne(ctx context.Context, rq *Request, rr router.Request, avoid []ml.EndpointID) (*holder.Held, error) {
+	hops := di.Keeper.View().Config.Retries.MaxRefusalHops
+	tried := append([]ml.EndpointID{}, avoid...)
+	var last error
+	for hop := range hops {
+		ca, found := di.pick(rr, tried)
+		if !found {
+			break
+		}
+		he, err := di.reserve(ctx, rq, rr, ca, hop, hop == hops-1)
+		if err == nil {
+			return he, nil
+		}
+		di.ended(ca.Endpoint.ID)
+		last = worst(last, err)
+		if ctx.Err() != nil {
+			return nil, last
+		}
+		tried = append(tried, ca.Endpoint.ID)
+	}
+	if last == nil {
+		last = &ml.Error{Type: ml.ErrUnavailable, Step: "route", NotRun: true, Err: errors.New("no endpoint in service can take it")}
+	}
+	return nil, last
+}
+
+// pick chooses a candidate and counts the request as offered to it.
+func (di *Dispatcher) pick(rr router.Request, avoid []ml.EndpointID) (router.Candidate, bool) {
+	out, found := router.Candidate{}, false
+	di.Routes.Route(func(ta *router.Table) {
+		ca, ok := ta.Pick(time.Now(), rr, avoid)
+		if !ok {
+			return
+		}
+		ta.Offered(ca.Endpoint.ID, rr)
+		out, found = *ca, true
+	})
+	return out, found
+}
+
+// reserve asks for a grant. The last endpoint asked is waited for as long as
+// the deadline allows; the ones before it for a few times the predicted wait.
+func (di *Dispatcher) reserve(
+	ctx context.Context, rq *Request, rr router.Request, ca router.Candidate, part int, last bool,
+) (*holder.Held, error) {
+	left := time.Until(rq.Deadline)
+	needs := time.Duration(min(rq.MaxTokens-rq.Position, judgedTokens)) * tokenTime
+	patience := left
+	if !last {
+		const times = 3
+		patience = min(left, max(minPatience, times*router.Predict(rr, &ca)))
+	}
+	return di.Holder.Reserve(ctx, ca.Endpoint, ca.Owner, ml.Reservation{
+		ID: grantID(rq, part), Endpoint: ca.Endpoint.ID, Holder: di.Self, Team: rq.Team,
+		Weight: di.Keeper.View().Config.TeamFor(rq.Team).Weight, Length: rr.Length, Prompt: rr.Prompt,
+		Memory: rr.Memory, DeadlineMs: left.Milliseconds(), NeedsMs: needs.Milliseconds(), PatienceMs: patience.Milliseconds(),
+	})
+}
+
+// worst keeps the refusal that tells most: overload before anything else,
+// with the shortest wait.
+func worst(a, b error) error {
+	if a == nil || (ml.TypeOf(b) == ml.ErrOverloaded && ml.TypeOf(a) != ml.ErrOverloaded) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/duty/dispatcher/stream.go
@@ -0,0 +1,166 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/duty/holder"
+	"github.com/mulberrylever/mulberrylever/internal/state/auditor"
+)
+
+const (
+	// stallLimit is the longest time between two tokens before the engine
+	// counts as frozen.
+	stallLimit = 3 * time.Second
+	// firstLimit is the same for the first token, beyond the time that the
+	// prompt itself takes at prefillFloor.
+	firstLimit = 10 * time.Second
+	// prefillFloor is the slowest prefill, in tokens a second, that counts
+	// as progress.
+	prefillFloor = 10_000
+	// resumeTries bounds how often a broken stream is resumed on the same
+	// engine.
+	resumeTries = 2
+)
+
+// errCallerGone means that the caller no longer reads.
+var errCallerGone = errors.New("the caller is gone")
+
+// errStalled means that an engine stopped producing.
+var errStalled = errors.New("no token came within the time allowed")
+
+// send gives the request to the engine and passes its answer on. The outcome
+// tells the owner what became of the grant.
+func (di *Dispatcher) send(ctx context.Context, rq *Request, si Sink, he *holder.Held, gr *group) (ml.GrantOutcome, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	now := time.Now()
+	if err := he.Usable(now); err != nil {
+		return ml.Unsent, err
+	}
+	di.checkInService(now, he.Endpoint)
+	st, err := di.Engine.Generate(ctx, he.Endpoint, ml.Generation{
+		ID: he.ID, Model: rq.Model, Prompt: rq.Prompt, MaxTokens: rq.MaxTokens, Position: rq.Position,
+		Generated: string(rq.text), Priority: int(rq.Length), Group: gr.list(), Sampling: rq.Sampling,
+	})
+	if err != nil {
+		rq.mayRun = rq.mayRun || !ml.AsError("generate", err).NotRun
+		return outcomeOf(ctx), err
+	}
+	rq.mayRun = true
+	he.Confirm(st.Incarnation())
+	err = di.relay(ctx, cancel, rq, si, st, Source{he.Endpoint.ID, he.ID})
+	for try := 0; try < resumeTries && resumable(ctx, err); try++ {
+		if st, err = di.Engine.Resume(ctx, he.Endpoint, he.ID, rq.Position); err != nil {
+			break
+		}
+		err = di.relay(ctx, cancel, rq, si, st, Source{he.Endpoint.ID, he.ID})
+	}
+	if err == nil {
+		return ml.Completed, nil
+	}
+	return outcomeOf(ctx), err
+}
+
+// relay passes the tokens of a stream on. It checks that each is the next one
+// of this answer.
+func (di *Dispatcher) relay(ctx context.Context, cancel context.CancelCauseFunc, rq *Request, si Sink, st ml.Stream, from Source) error {
+	defer st.Close()
+	patience := firstLimit + time.Duration(rq.Tokens)*time.Second/prefillFloor
+	stall := time.AfterFunc(patience, func() { cancel(errStalled) })
+	defer stall.Stop()
+	for {
+		ch, err := st.Next()
+		if err == io.EOF {
+			return di.complete(rq)
+		}
+		if err != nil {
+			return err
+		}
+		stall.Reset(stallLimit)
+		if err := di.Auditor.Check(auditor.WholeAnswer, ch.Position == rq.Position+1,
+			"request %s got position %d after %d", rq.ID, ch.Position, rq.Position); err != nil {
+			return &ml.Error{Type: ml.ErrEndpointFailed, Step: "read stream", Peer: string(from.Endpoint), Err: err}
+		}
+		if err := di.pass(rq, si, ch, from); err != nil {
+			cancel(errCallerGone)
+			return &ml.Error{Type: ml.ErrUnavailable, Step: "write to caller", Err: err}
+		}
+	}
+}
+
+func (di *Dispatcher) pass(rq *Request, si Sink, ch ml.Chunk, from Source) error {
+	now := time.Now()
+	if rq.First.IsZero() {
+		rq.First = now
+	}
+	rq.Last = now
+	rq.Position = ch.Position
+	rq.text = append(rq.text, ch.Text...)
+	if ch.Finish != "" {
+		rq.Counted, rq.Cached = ch.PromptTokens, ch.CachedTokens
+	}
+	if ch.Position <= rq.skip {
+		return nil
+	}
+	return si.Token(ch, from)
+}
+
+func (di *Dispatcher) complete(rq *Request) error {
+	const slack = time.Second
+	_ = di.Auditor.Check(auditor.FinishInTime, time.Now().Before(rq.Deadline.Add(slack)), "request %s finished late", rq.ID)
+	return nil
+}
+
+// reconnect goes on reading where an earlier connection of the caller was. It
+// returns false when that stream is gone; the request then starts again, and
+// the tokens that the caller already has are not passed on.
+func (di *Dispatcher) reconnect(ctx context.Context, rq *Request, si Sink) bool {
+	if rq.Resume.Grant == "" {
+		return false
+	}
+	if di.readOn(ctx, rq, si) {
+		return true
+	}
+	rq.skip, rq.Position, rq.text = rq.Position, 0, nil
+	return false
+}
+
+func (di *Dispatcher) readOn(ctx context.Context, rq *Request, si Sink) bool {
+	ep, found := di.Keeper.Endpoint(rq.Resume.Endpoint)
+	if !found {
+		return false
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	st, err := di.Engine.Resume(ctx, ep, rq.Resume.Grant, rq.Position)
+	if err != nil {
+		di.Log.Info("stream to resume is gone", "request", rq.ID, "grant", rq.Resume.Grant, "error", err)
+		return false
+	}
+	rq.mayRun = true
+	he := di.Holder.Adopt(ep, rq.Resume.Grant, st.Incarnation())
+	if err = di.relay(ctx, cancel, rq, si, st, rq.Resume); err != nil {
+		di.cancel(he)
+		he.Release(outcomeOf(ctx))
+		return false
+	}
+	he.Release(ml.Completed)
+	return true
+}
+
+// resumable tells whether a broken stream may be read on at the same engine.
+func resumable(ctx context.Context, err error) bool {
+	return ml.TypeOf(err) == ml.ErrEndpointFailed && ctx.Err() == nil
+}
+
+// outcomeOf tells the owner why a stream ended early.
+func outcomeOf(ctx context.Context) ml.GrantOutcome {
+	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errStalled) {
+		return ml.Broken
+	}
+	return ml.Cancelled
+}
--- /dev/null
+++ b/internal/duty/gossiper/gossiper.go
@@ -0,0 +1,273 @@
+// Package gossiper exchanges heartbeats with the other entry VMs: with those
+// of its own failure domain for the ownership of endpoints, with a few of the
+// others in turn for their endpoints' loads. Newer fleet state travels the
+// same way, so that it reaches nodes which can't reach the platform.
+package gossiper
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/lessor"
+	"github.com/mulberrylever/mulberrylever/internal/decision/router"
+	"github.com/mulberrylever/mulberrylever/internal/state/keeper"
+)
+
+// remoteFanout is the number of entry VMs of other domains that receive a
+// heartbeat in one round.
+const remoteFanout = 8
+
+var (
+	heartbeats      = metrics.NewCounter("mulberrylever_heartbeats_sent_total")
+	heartbeatErrors = metrics.NewCounter("mulberrylever_heartbeat_errors_total")
+)
+
+// Gossiper exchanges heartbeats.
+type Gossiper struct {
+	Self    ml.EntryVM
+	Timing  ml.Timing
+	Peers   ml.Peers
+	Keeper  *keeper.Keeper
+	Loads   func(now time.Time) []ml.OwnedLoad // what this VM owns
+	Adopt   func(state json.RawMessage) error
+	Log     *slog.Logger
+	Leaving func() bool
+
+	mu       sync.Mutex
+	lessor   lessor.Lessor
+	table    *router.Table
+	book     map[ml.VMID]ml.EntryVM // addresses learnt from heartbeats
+	rotation int
+	busy     map[string]bool // peers with a heartbeat under way
+}
+
+// New returns a gossiper that routes by table.
+func New(self ml.EntryVM, ti ml.Timing, ta *router.Table) *Gossiper {
+	return &Gossiper{
+		Self: self, Timing: ti, lessor: lessor.Lessor{Self: self.ID, Timing: ti},
+		table: ta, book: make(map[ml.VMID]ml.EntryVM), busy: make(map[string]bool),
+	}
+}
+
+// String names the step in logs.
+func (gs *Gossiper) String() string { return "gossiper" }
+
+// Run sends heartbeats until ctx ends.
+func (gs *Gossiper) Run(ctx context.Context) error {
+	ti := time.NewTicker(gs.Timing.Heartbeat)
+	defer ti.Stop()
+	for {
+		gs.round(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ti.C:
+		}
+	}
+}
+
+// round sends one round of heartbeats and renews the view.
+func (gs *Gossiper) round(ctx context.Context, now time.Time) {
+	loads := gs.Loads(now)
+	gs.mu.Lock()
+	gs.lessor.Tick(now)
+	if gs.Leaving() {
+		gs.lessor.Leave()
+	}
+	gs.lessor.Watch(now, gs.domainEndpoints())
+	gs.syncTable(now, loads)
+	targets := gs.targets()
+	for _, en := range targets {
+		gs.busy[en.PeerAddress] = true
+	}
+	gs.mu.Unlock()
+	hb := ml.Heartbeat{
+		From: gs.Self.ID, Domain: gs.Self.Domain, Address: gs.Self.PeerAddress, Leaving: gs.Leaving(),
+		Version: gs.Keeper.View().Fleet.Version, Loads: loads,
+	}
+	for _, en := range targets {
+		go gs.runHeartbeat(ctx, en, hb)
+	}
+}
+
+// runHeartbeat sends one heartbeat and waits for its acknowledgement.
+func (gs *Gossiper) runHeartbeat(ctx context.Context, en ml.EntryVM, hb ml.Heartbeat) {
+	ctx, cancel := context.WithTimeout(ctx, gs.Timing.LeaseTerm)
+	defer cancel()
+	sent := time.Now()
+	heartbeats.Inc()
+	ack, err := gs.Peers.Heartbeat(ctx, en.PeerAddress, hb)
+	gs.mu.Lock()
+	delete(gs.busy, en.PeerAddress)
+	if err == nil && en.Domain == gs.Self.Domain {
+		gs.lessor.Acked(en.ID, sent)
+	}
+	gs.mu.Unlock()
+	if err != nil {
+		heartbeatErrors.Inc()
+		gs.Log.Debug("heartbeat", "peer", en.ID, "error", err)
+		return
+	}
+	gs.catchUp(ctx, en.PeerAddress, ack.Version)
+}
+
+// catchUp takes over a peer's fleet state when it is newer than this node's.
+func (gs *Gossiper) catchUp(ctx context.Context, address string, theirs ml.Version) {
+	if theirs <= gs.Keeper.View().Fleet.Version {
+		return
+	}
+	ns, err := gs.Peers.State(ctx, address)
+	if err != nil {
+		gs.Log.Warn("fetch state", "peer", address, "error", err)
+		return
+	}
+	if err := gs.Adopt(ns.Fleet); err != nil {
+		gs.Log.Warn("adopt state", "peer", address, "error", err)
+	}
+}
+
+// OnHeartbeat records a heartbeat from another entry VM.
+func (gs *Gossiper) OnHeartbeat(hb ml.Heartbeat) ml.HeartbeatAck {
+	now := time.Now()
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	gs.book[hb.From] = ml.EntryVM{ID: hb.From, Domain: hb.Domain, PeerAddress: hb.Address, State: ml.StateLive}
+	if hb.Domain == gs.Self.Domain {
+		gs.lessor.Heard(now, hb.From, hb.Leaving)
+	}
+	gs.updateTable(now, hb.From, hb.Loads)
+	return ml.HeartbeatAck{Version: gs.Keeper.View().Fleet.Version}
+}
+
+// MayGrant tells whether this VM may grant work for ep now.
+func (gs *Gossiper) MayGrant(now time.Time, ep ml.EndpointID) bool {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	return gs.lessor.MayGrant(now, ep)
+}
+
+// Owned returns the endpoints of this VM's domain that it may grant work for.
+func (gs *Gossiper) Owned(now time.Time) []ml.Endpoint {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	out := []ml.Endpoint{}
+	for _, ep := range gs.Keeper.VMs().Endpoints {
+		if ep.Domain == gs.Self.Domain && gs.lessor.MayGrant(now, ep.ID) {
+			out = append(out, ep)
+		}
+	}
+	return out
+}
+
+// Alive returns the live members of this VM's domain as it sees them.
+func (gs *Gossiper) Alive(now time.Time) []ml.VMID {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	return gs.lessor.Alive(now)
+}
+
+// Observing tells whether this VM does not yet know its domain.
+func (gs *Gossiper) Observing(now time.Time) bool {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	return gs.lessor.Observing(now)
+}
+
+// Route calls use with the routing table.
+func (gs *Gossiper) Route(use func(ta *router.Table)) {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	use(gs.table)
+}
+
+// PeerAddress returns the address of an entry VM, or "".
+func (gs *Gossiper) PeerAddress(id ml.VMID) string {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	if en, found := gs.book[id]; found {
+		return en.PeerAddress
+	}
+	for _, en := range gs.Keeper.VMs().Entries {
+		if en.ID == id {
+			return en.PeerAddress
+		}
+	}
+	return ""
+}
+
+// targets returns the members of the own domain and a few others in turn. A
+// peer that still has a heartbeat under way is left out.
+func (gs *Gossiper) targets() []ml.EntryVM {
+	known := make(map[ml.VMID]ml.EntryVM)
+	for id, en := range gs.book {
+		known[id] = en
+	}
+	for _, en := range gs.Keeper.VMs().Entries {
+		known[en.ID] = en
+	}
+	delete(known, gs.Self.ID)
+	out, remote := []ml.EntryVM{}, []ml.EntryVM{}
+	for _, en := range known {
+		switch {
+		case gs.busy[en.PeerAddress]:
+		case en.Domain == gs.Self.Domain:
+			out = append(out, en)
+		default:
+			remote = append(remote, en)
+		}
+	}
+	sortByID(remote)
+	for i := range min(remoteFanout, len(remote)) {
+		out = append(out, remote[(gs.rotation+i)%len(remote)])
+	}
+	gs.rotation += remoteFanout
+	return out
+}
+
+func (gs *Gossiper) domainEndpoints() []ml.EndpointID {
+	out := []ml.EndpointID{}
+	for _, ep := range gs.Keeper.VMs().Endpoints {
+		if ep.Domain == gs.Self.Domain {
+			out = append(out, ep.ID)
+		}
+	}
+	return out
+}
+
+// syncTable drops endpoints that may not be given new work and renews this
+// VM's own.
+func (gs *Gossiper) syncTable(now time.Time, loads []ml.OwnedLoad) {
+	vi := gs.Keeper.View()
+	gs.table.Policy = router.ByName(vi.Config.Routing.Policy)
+	gs.table.Candidates = vi.Config.Routing.Candidates
+	listed := make(map[ml.EndpointID]bool)
+	for _, ep := range gs.Keeper.VMs().Endpoints {
+		if vi.InService(ep) == "" {
+			listed[ep.ID] = true
+		}
+	}
+	gs.table.Retain(func(id ml.EndpointID) bool { return listed[id] })
+	gs.updateTable(now, gs.Self.ID, loads)
+}
+
+func (gs *Gossiper) updateTable(now time.Time, owner ml.VMID, loads []ml.OwnedLoad) {
+	vi := gs.Keeper.View()
+	for _, ol := range loads {
+		ep, found := gs.Keeper.Endpoint(ol.Endpoint)
+		if found && vi.InService(ep) == "" {
+			gs.table.Update(now, ep, owner, ol.Load)
+		}
+	}
+}
+
+func sortByID(ens []ml.EntryVM) {
+	slices.SortFunc(ens, func(a, b ml.EntryVM) int { return cmp.Compare(a.ID, b.ID) })
+}
--- /dev/null
+++ b/internal/setting/loader/loader.go
@@ -0,0 +1,167 @@
+// Package loader reads the settings of one entry VM's process: its addresses,
+// failure domain, name, the platform's address, TLS files and access keys.
+package loader
+
+import (
+	"fmt"
+	"net"
+	"os"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/setting/parser"
+)
+
+// TLS names the files for encrypted connections. All empty means plain TCP.
+type TLS struct {
+	CertFile string `json:"certFile"`
+	KeyFile  string `json:"keyFile"`
+	CAFile   string `json:"caFile"` // who may connect as a peer
+}
+
+// AccessKey lets a team in. A team may have several, so that keys can be
+// rotated.
+type AccessKey struct {
+	Key  string    `json:"key"`
+	Team ml.TeamID `json:"team"`
+}
+
+// Limits bounds what callers may use of the process.
+type Limits struct {
+	MaxBodyBytes     int64 `json:"maxBodyBytes"`
+	MaxHeaderBytes   int   `json:"maxHeaderBytes"`
+	MaxConnections   int   `json:"maxConnections"`
+	MaxInFlightBytes int64 `json:"maxInFlightBytes"` // bodies held at once
+	WriteTimeoutMs   int64 `json:"writeTimeoutMs"`   // a caller that reads nothing for this long is cut off
+	DrainMs          int64 `json:"drainMs"`          // not ready, but still serving, before a stop
+}
+
+// Settings are the settings of one entry VM.
+type Settings struct {
+	VM              ml.VMID     `json:"vm"`
+	Domain          ml.DomainID `json:"domain"`
+	CallerAddress   string      `json:"callerAddress"` // host:port for callers
+	PeerAddress     string      `json:"peerAddress"`   // host:port for other entry VMs
+	AdminAddress    string      `json:"adminAddress"`  // host:port for operators
+	Platform        string      `json:"platform"`      // host:port of the platform's services
+	Neighbours      []string    `json:"neighbours"`    // peer addresses asked when the platform is down
+	CallerTLS       TLS         `json:"callerTls"`
+	PeerTLS         TLS         `json:"peerTls"`
+	AccessKeys      []AccessKey `json:"accessKeys"`
+	AdminKey        string      `json:"adminKey"` // operators' bearer key; empty for none
+	Limits          Limits      `json:"limits"`
+	LogLevel        string      `json:"logLevel"`
+	FatalViolations bool        `json:"fatalViolations"` // end the process when an invariant is violated
+}
+
+// Load reads, fills and checks the settings file at path.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	se, err := Parse(data)
+	if err != nil {
+		return se, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return se, nil
+}
+
+// Parse reads, fills and checks settings.
+func Parse(data []byte) (Settings, error) {
+	se := Default()
+	if err := parser.Parse(data, &se); err != nil {
+		return se, err
+	}
+	if fs := se.Check(); len(fs) > 0 {
+		return se, parser.Locate(data, fs)
+	}
+	return se, nil
+}
+
+// Default returns the settings' defaults. This is the only place where they
+// stand.
+func Default() Settings {
+	return Settings{
+		CallerAddress: "127.0.0.1:8080",
+		PeerAddress:   "127.0.0.1:8081",
+		AdminAddress:  "127.0.0.1:8082",
+		Platform:      "127.0.0.1:8090",
+		Limits: Limits{
+			MaxBodyBytes: 16 << 20, MaxHeaderBytes: 64 << 10, MaxConnections: 10_000,
+			MaxInFlightBytes: 512 << 20, WriteTimeoutMs: 30_000, DrainMs: 1000,
+		},
+		LogLevel: "info",
+	}
+}
+
+// Check returns everything wrong with the settings.
+func (se Settings) Check() parser.Faults {
+	fs := parser.Faults{}
+	add := func(field, value, what string) {
+		fs = append(fs, parser.Fault{Field: field, Value: fmt.Sprintf("%q", value), What: what})
+	}
+	if se.VM == "" {
+		add("vm", "", "must not be empty")
+	}
+	if se.Domain == "" {
+		add("domain", "", "must not be empty")
+	}
+	addresses := []struct{ field, value string }{
+		{"callerAddress", se.CallerAddress},
+		{"peerAddress", se.PeerAddress},
+		{"adminAddress", se.AdminAddress},
+		{"platform", se.Platform},
+	}
+	for i, ne := range se.Neighbours {
+		addresses = append(addresses, struct{ field, value string }{fmt.Sprintf("neighbours[%d]", i), ne})
+	}
+	for _, ad := range addresses {
+		host, _, err := net.SplitHostPort(ad.value)
+		if err != nil || net.ParseIP(host) == nil {
+			add(ad.field, ad.value, "want an IP number and a port, such as 10.0.0.1:8080")
+		}
+	}
+	seen := make(map[string]bool)
+	for i, ak := range se.AccessKeys {
+		field := fmt.Sprintf("accessKeys[%d].key", i)
+		if len(ak.Key) < 8 || ak.Team == "" {
+			add(field, ak.Key, "want a key of 8 or more characters and a team")
+		}
+		if seen[ak.Key] {
+			add(field, ak.Key, "stands twice")
+		}
+		seen[ak.Key] = true
+	}
+	for _, tl := range []struct {
+		field string
+		files TLS
+	}{{"callerTls", se.CallerTLS}, {"peerTls", se.PeerTLS}} {
+		if (tl.files.CertFile == "") != (tl.files.KeyFile == "") {
+			add(tl.field+".certFile", tl.files.CertFile, "certFile and keyFile go together")
+		}
+	}
+	if se.PeerTLS.CertFile != "" && se.PeerTLS.CAFile == "" {
+		add("peerTls.caFile", "", "is required with certFile")
+	}
+	for _, li := range []struct {
+		field string
+		value int64
+	}{
+		{"limits.maxBodyBytes", se.Limits.MaxBodyBytes},
+		{"limits.maxHeaderBytes", int64(se.Limits.MaxHeaderBytes)},
+		{"limits.maxConnections", int64(se.Limits.MaxConnections)},
+		{"limits.maxInFlightBytes", se.Limits.MaxInFlightBytes},
+		{"limits.writeTimeoutMs", se.Limits.WriteTimeoutMs},
+		{"limits.drainMs", se.Limits.DrainMs},
+	} {
+		if li.value <= 0 {
+			add(li.field, fmt.Sprint(li.value), "must be more than 0")
+		}
+	}
+	switch se.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		add("logLevel", se.LogLevel, "must be debug, info, warn or error")
+	}
+	return fs
+}
--- /dev/null
+++ b/internal/standin/batcher/report.go
@@ -0,0 +1,50 @@
+package batcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+)
+
+// reportInterval is the time between two load reports.
+const reportInterval = 100 * time.Millisecond
+
+// reportRing keeps the newest load reports, so that an old one can be shown.
+type reportRing struct {
+	mu      sync.Mutex
+	reports [64]ml.EngineLoad
+	next    int
+}
+
+// loop records a load report at each interval.
+func (rr *reportRing) loop(ctx context.Context, sc *scheduler) error {
+	ti := time.NewTicker(reportInterval)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ti.C:
+			sc.mu.Lock()
+			lo := sc.load()
+			sc.mu.Unlock()
+			rr.mu.Lock()
+			rr.reports[rr.next%len(rr.reports)] = lo
+			rr.next++
+			rr.mu.Unlock()
+		}
+	}
+}
+
+// lagged returns the report made about lag ago, or the oldest one.
+func (rr *reportRing) lagged(lag time.Duration) ml.EngineLoad {
+	rr.mu.Lock()
+	defer rr.mu.Unlock()
+	back := min(int(lag/reportInterval)+1, len(rr.reports), rr.next)
+	if back == 0 {
+		return ml.EngineLoad{}
+	}
+	return rr.reports[(rr.next-back)%len(rr.reports)]
+}
--- /dev/null
+++ b/internal/state/keeper/keeper.go
@@ -0,0 +1,93 @@
+// Package keeper keeps the newest state of the fleet for all duties of one
+// entry VM to read without locks.
+package keeper
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/setting/configurer"
+	"github.com/mulberrylever/mulberrylever/internal/state/auditor"
+	"github.com/mulberrylever/mulberrylever/internal/state/folder"
+)
+
+// View is the operators' state with its exceptions worked out. It never
+// changes once it was made.
+type View struct {
+	Fleet  *folder.Fleet
+	Config *configurer.Effective
+}
+
+// Keeper holds the newest state.
+type Keeper struct {
+	Auditor *auditor.Auditor
+
+	mu   sync.Mutex // held by writers
+	view atomic.Pointer[View]
+	vms  atomic.Pointer[ml.VMs]
+}
+
+// View returns the operators' state. Before any was read it is the built-in
+// default.
+func (ke *Keeper) View() *View {
+	if vi := ke.view.Load(); vi != nil {
+		return vi
+	}
+	fl := folder.NewFleet()
+	return &View{Fleet: fl, Config: configurer.Resolve(fl.Config, nil)}
+}
+
+// Known tells whether the operators' state and the list of VMs were read.
+func (ke *Keeper) Known() bool { return ke.view.Load() != nil && ke.vms.Load() != nil }
+
+// SetFleet makes fl the state in force.
+func (ke *Keeper) SetFleet(fl *folder.Fleet) {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	old := ke.view.Load()
+	if old != nil {
+		err := ke.Auditor.Check(auditor.ConfigNeverReverts, fl.Version >= old.Fleet.Version,
+			"version %d after version %d", fl.Version, old.Fleet.Version)
+		if err != nil || old.Fleet == fl {
+			return
+		}
+	}
+	ke.view.Store(&View{Fleet: fl, Config: configurer.Resolve(fl.Config, fl.Exceptions)})
+}
+
+// VMs returns the newest list of VMs.
+func (ke *Keeper) VMs() ml.VMs {
+	if vms := ke.vms.Load(); vms != nil {
+		return *vms
+	}
+	return ml.VMs{}
+}
+
+// SetVMs replaces the list of VMs.
+func (ke *Keeper) SetVMs(vms ml.VMs) { ke.vms.Store(&vms) }
+
+// InService tells whether an endpoint may be given new work. The reason is
+// empty when it may.
+func (vi *View) InService(ep ml.Endpoint) (reason string) {
+	switch {
+	case ep.State == ml.StateLeaving:
+		return "the endpoint is leaving"
+	case vi.Fleet.DomainIsOut(ep.Domain):
+		return "its failure domain is out of service"
+	case vi.Fleet.VMIsOut(string(ep.ID)):
+		return "its VM is out of service"
+	}
+	return ""
+}
+
+// Endpoint returns the listed endpoint with an id.
+func (ke *Keeper) Endpoint(id ml.EndpointID) (ml.Endpoint, bool) {
+	eps := ke.VMs().Endpoints
+	i := slices.IndexFunc(eps, func(ep ml.Endpoint) bool { return ep.ID == id })
+	if i < 0 {
+		return ml.Endpoint{}, false
+	}
+	return eps[i], true
+}
--- /dev/null
+++ b/messages.go
@@ -0,0 +1,121 @@
+package mulberrylever
+
+import (
+	"context"
+	"encoding/json"
+)
+
+// EndpointLoad is how much an endpoint has been given, as its owner counts
+// it. It travels with every heartbeat, hence the short names.
+type EndpointLoad struct {
+	Requests int     `json:"r,omitempty"`
+	Waiting  int     `json:"q,omitempty"`
+	Window   int     `json:"w,omitempty"`
+	Prefill  Tokens  `json:"p,omitempty"` // prompt tokens not yet processed
+	Sooner   Tokens  `json:"n,omitempty"` // the part of them that goes before long prompts
+	Memory   Tokens  `json:"m,omitempty"` // in use
+	Long     int     `json:"l,omitempty"` // long prompts running or waiting
+	Rate     float64 `json:"v,omitempty"` // prefill tokens a second
+	Service  int64   `json:"s,omitempty"` // average milliseconds of one request
+	Cold     bool    `json:"c,omitempty"`
+}
+
+// OwnedLoad is the load of one endpoint that the sender owns.
+type OwnedLoad struct {
+	Endpoint EndpointID   `json:"e"`
+	Load     EndpointLoad `json:"l"`
+}
+
+// Heartbeat tells another entry VM that the sender is alive and what it owns.
+type Heartbeat struct {
+	From    VMID        `json:"from"`
+	Domain  DomainID    `json:"domain"`
+	Address string      `json:"address"` // the sender's peer address
+	Leaving bool        `json:"leaving,omitempty"`
+	Version Version     `json:"version"` // of the configuration in force at the sender
+	Loads   []OwnedLoad `json:"loads,omitempty"`
+}
+
+// HeartbeatAck answers a heartbeat.
+type HeartbeatAck struct {
+	Version Version `json:"version"`
+}
+
+// Reservation asks an endpoint's owner for a grant. Lengths of time are
+// relative, since clocks differ.
+type Reservation struct {
+	ID         GrantID    `json:"id"`
+	Endpoint   EndpointID `json:"endpoint"`
+	Holder     VMID       `json:"holder"`
+	Team       TeamID     `json:"team"`
+	Weight     float64    `json:"weight"`
+	Length     Length     `json:"length"`
+	Prompt     Tokens     `json:"prompt"`
+	Cached     Tokens     `json:"cached"`
+	Memory     Tokens     `json:"memory"`
+	Member     bool       `json:"member,omitempty"`
+	DeadlineMs int64      `json:"deadlineMs"` // until the answer must be complete
+	NeedsMs    int64      `json:"needsMs"`    // the answer takes at least this long
+	PatienceMs int64      `json:"patienceMs"` // longest wait for the grant
+}
+
+// Grant answers a reservation.
+type Grant struct {
+	Granted      bool        `json:"granted"`
+	Incarnation  Incarnation `json:"incarnation,omitempty"` // of the endpoint, as the owner knows it
+	Type         ErrorType   `json:"type,omitempty"`        // of the refusal
+	Reason       string      `json:"reason,omitempty"`
+	RetryAfterMs int64       `json:"retryAfterMs,omitempty"`
+}
+
+// NewsKind tells what happened to a grant.
+type NewsKind string
+
+// The kinds of news.
+const (
+	NewsConfirmed NewsKind = "confirmed" // the endpoint accepted the request
+	NewsKept      NewsKind = "kept"      // the holder still answers for it
+	NewsReleased  NewsKind = "released"  // it has ended
+)
+
+// GrantOutcome tells how a grant ended.
+type GrantOutcome string
+
+// The outcomes of grants.
+const (
+	Completed GrantOutcome = "completed" // the whole answer came
+	Cancelled GrantOutcome = "cancelled" // given up by the caller or the holder
+	Broken    GrantOutcome = "broken"    // the endpoint broke off
+	Unsent    GrantOutcome = "unsent"    // never sent to the endpoint
+)
+
+// GrantNews tells an owner what happened to a grant.
+type GrantNews struct {
+	ID          GrantID      `json:"id"`
+	Endpoint    EndpointID   `json:"endpoint"`
+	Kind        NewsKind     `json:"kind"`
+	Incarnation Incarnation  `json:"incarnation,omitempty"`
+	Outcome     GrantOutcome `json:"outcome,omitempty"`
+}
+
+// NodeState is what a new entry VM takes over from a neighbour.
+type NodeState struct {
+	Fleet json.RawMessage `json:"fleet"`
+	VMs   VMs             `json:"vms"`
+}
+
+// Peers reaches other entry VMs by their peer addresses.
+type Peers interface {
+	Heartbeat(ctx context.Context, address string, hb Heartbeat) (HeartbeatAck, error)
+	Reserve(ctx context.Context, address string, re Reservation) (Grant, error)
+	Tell(ctx context.Context, address string, news []GrantNews) error
+	State(ctx context.Context, address string) (NodeState, error)
+}
+
+// PeerHandler answers other entry VMs.
+type PeerHandler interface {
+	OnHeartbeat(hb Heartbeat) HeartbeatAck
+	OnReserve(ctx context.Context, re Reservation) Grant
+	OnTell(news []GrantNews)
+	OnState() (NodeState, error)
+}
