--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -117,13 +117,18 @@
 	pa := flags.NewNamedParser("standin", flags.Default)
 	add(pa, "engine", "run a stand-in engine", &engineCommand{})
 	add(pa, "service", "run a stand-in service", &serviceCommand{})
+	add(pa, "load", "send a load and check every answer; status 4 when any request was lost", &loadCommand{})
 	add(pa, "platform", "run the stand-in platform: log, list of VMs, weight store", &platformCommand{})
-	if _, err := pa.Parse(); err != nil {
-		var fe *flags.Error
-		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
-			return
-		}
+	_, err := pa.Parse()
+	var fe *flags.Error
+	switch {
+	case err == nil || (errors.As(err, &fe) && fe.Type == flags.ErrHelp):
+	case errors.Is(err, errLost):
+		os.Exit(4)
+	case errors.As(err, &fe):
 		os.Exit(2)
+	default:
+		os.Exit(1)
 	}
 }
 
