feat: add operators' commands and the demo

Operators' commands write to the log against a named version, learn what became of the change and wait until it is in force everywhere. make demo starts the fleet as processes, takes a failure domain out and back under load and fails when anything is lost.

An entry VM now is ready only once it has heard of endpoints for everything listed: the first demo made its booking too early and was refused.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 # The one task file: build, lint, test, demo, and the long runs.
 SHELL := /bin/bash
 FLEET ?= tinjau
-GOFUMPT := go run mvdan.cc/gofumpt@v0.10.0
-LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.12.2
+GOFUMPT := go run mvdan.cc/gofumpt@v0.12.0
+LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
 .PHONY: build test lint demo
 
@@ -16,3 +16,6 @@
 lint: ## format and linter
 	@out=$$($(GOFUMPT) -l .); if [ -n "$$out" ]; then echo "gofumpt differs in:"; echo "$$out"; exit 1; fi
 	$(LINT) run ./...
+
+demo: build ## a fleet of real processes; FLEET=tinjau or guild
+	FLEET=$(FLEET) scripts/demo.sh
--- /dev/null
+++ b/cmd/standin/call.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/mulberrylever/mulberrylever/internal/standin/generator"
+)
+
+type callCommand struct {
+	Load string `long:"load" required:"true" description:"load file, for targets, team and service"`
+	Key  string `long:"key" required:"true" description:"idempotency key"`
+}
+
+// Execute makes one call that may not be repeated and prints its answer.
+func (ca *callCommand) Execute([]string) error {
+	pl, err := generator.ReadPlan(ca.Load)
+	if err != nil {
+		return err
+	}
+	const timeout = 20 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	text, err := pl.CallOnce(ctx, ca.Key)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(os.Stdout, text)
+	return nil
+}
--- /dev/null
+++ b/internal/command/checker/checker.go
@@ -0,0 +1,31 @@
+// Package checker checks files of settings and configuration.
+package checker
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/mulberrylever/mulberrylever/internal/setting/configurer"
+	"github.com/mulberrylever/mulberrylever/internal/setting/loader"
+	"github.com/mulberrylever/mulberrylever/internal/setting/parser"
+)
+
+// Check checks the file at path and returns its kind. A file that names a VM,
+// a domain or a platform is one of settings.
+func Check(path string) (kind string, err error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("read %q: %w", path, err)
+	}
+	kind, err = "configuration", nil
+	if parser.HasField(data, "vm") || parser.HasField(data, "domain") || parser.HasField(data, "platform") {
+		kind = "settings"
+		_, err = loader.Parse(data)
+	} else {
+		_, err = configurer.Parse(data)
+	}
+	if err != nil {
+		return kind, fmt.Errorf("%s: %s: %w", path, kind, err)
+	}
+	return kind, nil
+}
--- a/internal/command/commander/commander.go
+++ b/internal/command/commander/commander.go
@@ -11,6 +11,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/mulberrylever/mulberrylever/internal/command/operator"
 	"github.com/mulberrylever/mulberrylever/internal/command/server"
 	"github.com/mulberrylever/mulberrylever/internal/setting/loader"
 )
@@ -20,6 +21,10 @@
 	exitOK    = 0
 	exitError = 1
 	exitUsage = 2
+	// exitNotInForce: accepted, but not in force everywhere yet.
+	exitNotInForce = 3
+	// exitRejected: another change came first, or the change is not allowed.
+	exitRejected = 4
 )
 
 // Commander runs commands.
@@ -48,11 +53,42 @@
 		return exitUsage
 	}
 	fmt.Fprintf(os.Stderr, "mulberrylever: %v\n", err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var ue usageError
+	var no *operator.NotInForce
+	var re *operator.Rejected
+	switch {
+	case errors.As(err, &ue):
+		return exitUsage
+	case errors.As(err, &no):
+		return exitNotInForce
+	case errors.As(err, &re):
+		return exitRejected
+	}
 	return exitError
 }
 
 func (co *Commander) addCommands(pa *flags.Parser) {
 	add(pa.Command, "serve", "run an entry VM's process", &serveCommand{release: co.Release})
+	add(pa.Command, "check", "check a file of settings or configuration", &checkCommand{})
+	config := add(pa.Command, "config", "show and change the fleet-wide configuration", &struct{}{})
+	add(config, "show", "print the configuration in force", &configShowCommand{})
+	add(config, "set", "replace the fleet-wide defaults", &configSetCommand{})
+	add(config, "history", "print what became of the last changes", &configHistoryCommand{})
+	exception := add(pa.Command, "exception", "show and change the exceptions", &struct{}{})
+	add(exception, "add", "add or replace an exception", &exceptionAddCommand{})
+	add(exception, "remove", "remove an exception", &exceptionRemoveCommand{})
+	add(exception, "list", "list the exceptions", &exceptionListCommand{})
+	for _, scope := range []string{"domain", "vm"} {
+		group := add(pa.Command, scope, "take a "+scope+" out of service and back", &struct{}{})
+		add(group, "out", "take a "+scope+" out of service", &markCommand{scope: scope, out: true})
+		add(group, "in", "take a "+scope+" back into service", &markCommand{scope: scope})
+		add(group, "list", "list every "+scope, &markListCommand{scope: scope})
+	}
+	add(pa.Command, "status", "print what every entry VM says of itself", &statusCommand{})
 	add(pa.Command, "version", "print the release", &versionCommand{release: co.Release})
 }
 
--- /dev/null
+++ b/internal/command/commander/operate.go
@@ -0,0 +1,234 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/command/operator"
+	"github.com/mulberrylever/mulberrylever/internal/setting/configurer"
+	"github.com/mulberrylever/mulberrylever/internal/setting/loader"
+	"github.com/mulberrylever/mulberrylever/internal/state/folder"
+)
+
+// operatorOptions are shared by all operators' commands.
+type operatorOptions struct {
+	Settings string        `long:"settings" description:"settings file of any entry VM, for the platform's address and the admin key"`
+	Platform string        `long:"platform" description:"host:port of the platform, instead of the settings file's"`
+	Key      string        `long:"key" env:"MULBERRYLEVER_ADMIN_KEY" description:"admin key, instead of the settings file's"`
+	JSON     bool          `long:"json" description:"print JSON"`
+	Wait     time.Duration `long:"wait" default:"10s" description:"longest wait for the platform and for a change to be in force"`
+}
+
+// changeOptions are shared by the commands that change something.
+type changeOptions struct {
+	operatorOptions
+	By   string `long:"by" env:"USER" description:"who makes the change"`
+	Base string `long:"base" description:"version the change is made against; the current one when not given"`
+}
+
+func (oo operatorOptions) operator() (*operator.Operator, error) {
+	platform, key := loader.Default().Platform, ""
+	if oo.Settings != "" {
+		se, err := loader.Load(oo.Settings)
+		if err != nil {
+			return nil, err
+		}
+		platform, key = se.Platform, se.AdminKey
+	}
+	if oo.Platform != "" {
+		platform = oo.Platform
+	}
+	if oo.Key != "" {
+		key = oo.Key
+	}
+	return operator.New(platform, key), nil
+}
+
+func (oo operatorOptions) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), oo.Wait)
+}
+
+// changed is what a command that changes something prints.
+type changed struct {
+	Outcome folder.Outcome `json:"outcome"`
+	Base    ml.Version     `json:"base"`
+	TookMs  int64          `json:"tookMs"` // until it was in force everywhere
+	Missing []ml.VMID      `json:"missing,omitempty"`
+}
+
+// submit makes a change against the named or current version and waits until
+// it is in force.
+func (co changeOptions) submit(change func(fl *folder.Fleet) (folder.Change, error)) error {
+	op, err := co.operator()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := co.context()
+	defer cancel()
+	start := time.Now()
+	fl, err := op.Fleet(ctx)
+	if err != nil {
+		return err
+	}
+	ch, err := change(fl)
+	if err != nil {
+		return err
+	}
+	ch.By, ch.Base = co.By, fl.Version
+	if co.Base != "" {
+		base, err := strconv.ParseInt(co.Base, 10, 64)
+		if err != nil {
+			return usageError{fmt.Errorf("--base: want a version number (got %q)", co.Base)}
+		}
+		ch.Base = ml.Version(base)
+	}
+	ou, err := op.Submit(ctx, ch)
+	if err != nil {
+		return err
+	}
+	err = op.WaitInForce(ctx, ou.Version)
+	out := changed{Outcome: ou, Base: ch.Base, TookMs: time.Since(start).Milliseconds()}
+	if no, late := err.(*operator.NotInForce); late {
+		out.Missing = no.VMs
+	}
+	co.print(out, func() {
+		fmt.Printf("%s: version %d, made against version %d", ou.Summary, ou.Version, ch.Base)
+		if err == nil {
+			fmt.Printf(", in force on every entry VM after %d ms", out.TookMs)
+		}
+		fmt.Println()
+	})
+	return err
+}
+
+// print prints a value as JSON or calls plain.
+func (oo operatorOptions) print(value any, plain func()) {
+	if !oo.JSON {
+		plain()
+		return
+	}
+	en := json.NewEncoder(os.Stdout)
+	en.SetIndent("", "  ")
+	_ = en.Encode(value)
+}
+
+// read calls use with the operators' state.
+func (oo operatorOptions) read(use func(ctx context.Context, op *operator.Operator, fl *folder.Fleet) error) error {
+	op, err := oo.operator()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := oo.context()
+	defer cancel()
+	fl, err := op.Fleet(ctx)
+	if err != nil {
+		return err
+	}
+	return use(ctx, op, fl)
+}
+
+type configShowCommand struct{ operatorOptions }
+
+// Execute prints the configuration in force.
+func (cs *configShowCommand) Execute([]string) error {
+	return cs.read(func(_ context.Context, _ *operator.Operator, fl *folder.Fleet) error {
+		out := struct {
+			Version    ml.Version             `json:"version"`
+			Config     configurer.Config      `json:"config"`
+			Exceptions []configurer.Exception `json:"exceptions"`
+		}{fl.Version, fl.Config, fl.Exceptions}
+		cs.JSON = true
+		cs.print(out, nil)
+		return nil
+	})
+}
+
+type configSetCommand struct {
+	changeOptions
+	Args struct {
+		File string `positional-arg-name:"FILE" description:"configuration file (JSON with comments)"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute replaces the fleet-wide defaults.
+func (cs *configSetCommand) Execute([]string) error {
+	data, err := os.ReadFile(cs.Args.File)
+	if err != nil {
+		return fmt.Errorf("read configuration file: %w", err)
+	}
+	cf, err := configurer.Parse(data)
+	if err != nil {
+		return fmt.Errorf("%s: %w", cs.Args.File, err)
+	}
+	return cs.submit(func(*folder.Fleet) (folder.Change, error) { return folder.Change{Config: &cf}, nil })
+}
+
+type configHistoryCommand struct{ operatorOptions }
+
+// Execute prints what became of the last changes.
+func (ch *configHistoryCommand) Execute([]string) error {
+	return ch.read(func(_ context.Context, _ *operator.Operator, fl *folder.Fleet) error {
+		ch.print(fl.History, func() {
+			tw := table("VERSION", "ACCEPTED", "BY", "AT", "CHANGE", "WHY NOT")
+			for _, ou := range fl.History {
+				tw.row(strconv.FormatInt(int64(ou.Version), 10), yesNo(ou.Accepted), ou.By, ou.At.Format(time.RFC3339), ou.Summary, ou.Why)
+			}
+			tw.flush()
+		})
+		return nil
+	})
+}
+
+type exceptionAddCommand struct {
+	changeOptions
+	Scope  string `long:"scope" required:"true" description:"team or service"`
+	Name   string `long:"name" required:"true" description:"the team's or service's name"`
+	Field  string `long:"field" required:"true" description:"the default to replace"`
+	Value  string `long:"value" required:"true" description:"its value, as JSON"`
+	Reason string `long:"reason" description:"why; required"`
+}
+
+// Execute adds or replaces an exception.
+func (ea *exceptionAddCommand) Execute([]string) error {
+	if !json.Valid([]byte(ea.Value)) {
+		return usageError{fmt.Errorf("--value: want JSON (got %q)", ea.Value)}
+	}
+	ex := configurer.Exception{Scope: ea.Scope, Name: ea.Name, Field: ea.Field, Value: json.RawMessage(ea.Value), Reason: ea.Reason}
+	if fs := ex.Check(); len(fs) > 0 {
+		return usageError{fs}
+	}
+	return ea.submit(func(*folder.Fleet) (folder.Change, error) { return folder.Change{AddException: &ex}, nil })
+}
+
+type exceptionRemoveCommand struct {
+	changeOptions
+	Args struct {
+		Key string `positional-arg-name:"SCOPE/NAME/FIELD"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute removes an exception.
+func (er *exceptionRemoveCommand) Execute([]string) error {
+	return er.submit(func(*folder.Fleet) (folder.Change, error) { return folder.Change{RemoveException: er.Args.Key}, nil })
+}
+
+type exceptionListCommand struct{ operatorOptions }
+
+// Execute lists the exceptions.
+func (el *exceptionListCommand) Execute([]string) error {
+	return el.read(func(_ context.Context, _ *operator.Operator, fl *folder.Fleet) error {
+		el.print(fl.Exceptions, func() {
+			tw := table("EXCEPTION", "VALUE", "BY", "SINCE", "REASON")
+			for _, ex := range fl.Exceptions {
+				tw.row(ex.Key(), string(ex.Value), ex.By, ex.At.Format(time.RFC3339), ex.Reason)
+			}
+			tw.flush()
+		})
+		return nil
+	})
+}
--- a/internal/command/server/server.go
+++ b/internal/command/server/server.go
@@ -65,6 +65,7 @@
 	peers      *messenger.Messenger
 	receiver   *receiver.Receiver
 
+	started     time.Time
 	stopCallers func(context.Context) error
 	drained     chan struct{} // closed when no request is under way any more
 }
@@ -111,6 +112,7 @@
 func (se *Server) assemble(ctx context.Context) error {
 	ss, ti := se.Settings, ml.DefaultTiming()
 	se.drained = make(chan struct{})
+	se.started = time.Now()
 	peerTLS, err := peerTLS(ss.PeerTLS)
 	if err != nil {
 		return fmt.Errorf("peer TLS: %w", err)
@@ -272,10 +274,30 @@
 		return "this failure domain is out of service"
 	case se.gossiper.Observing(now):
 		return "this VM does not know its failure domain yet"
+	case now.Sub(se.started) < settleTime && !se.routesKnown():
+		return "this VM does not know the endpoints' loads yet"
 	}
 	return ""
 }
 
+// settleTime is the time after the start within which this VM waits to hear of
+// endpoints for everything that is listed.
+const settleTime = 6 * time.Second
+
+// routesKnown tells whether an endpoint was heard of for every model and
+// service that is listed in service.
+func (se *Server) routesKnown() bool {
+	vi, known := se.keeper.View(), true
+	se.gossiper.Route(func(ta *router.Table) {
+		for _, ep := range se.keeper.VMs().Endpoints {
+			if vi.InService(ep) == "" && !ta.Serves(ep.Model, ep.Service) {
+				known = false
+			}
+		}
+	})
+	return known
+}
+
 func (se *Server) fleet() *folder.Fleet { return se.keeper.View().Fleet }
 
 func (se *Server) models() []ml.ModelID {
--- a/internal/setting/configurer/configurer.go
+++ b/internal/setting/configurer/configurer.go
@@ -107,13 +107,8 @@
 // Parse reads a configuration file's content over the defaults and checks it.
 func Parse(data []byte) (Config, error) {
 	co := Default()
-	if err := parser.Parse(data, &co); err != nil {
-		return co, err
-	}
-	if fs := co.Check(); len(fs) > 0 {
-		return co, parser.Locate(data, fs)
-	}
-	return co, nil
+	err := parser.Parse(data, &co)
+	return co, parser.Join(data, err, co.Check())
 }
 
 // Check returns everything wrong with the configuration.
--- a/internal/setting/loader/loader.go
+++ b/internal/setting/loader/loader.go
@@ -69,13 +69,8 @@
 // Parse reads, fills and checks settings.
 func Parse(data []byte) (Settings, error) {
 	se := Default()
-	if err := parser.Parse(data, &se); err != nil {
-		return se, err
-	}
-	if fs := se.Check(); len(fs) > 0 {
-		return se, parser.Locate(data, fs)
-	}
-	return se, nil
+	err := parser.Parse(data, &se)
+	return se, parser.Join(data, err, se.Check())
 }
 
 // Default returns the settings' defaults. This is the only place where they
--- a/internal/setting/parser/parser.go
+++ b/internal/setting/parser/parser.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"reflect"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -23,6 +24,9 @@
 
 // String returns the fault as one line for an operator.
 func (fa Fault) String() string {
+	if fa.Line == 0 {
+		return fmt.Sprintf("%s: %s (got %q)", fa.Field, fa.What, fa.Value)
+	}
 	return fmt.Sprintf("line %d: %s: %s (got %s)", fa.Line, fa.Field, fa.What, fa.Value)
 }
 
@@ -56,10 +60,13 @@
 	if err != nil {
 		return Faults{{Line: lineOfSyntax(err), Field: "(syntax)", Value: "unreadable text", What: err.Error()}}
 	}
+	fs := unknownFields(std, reflect.TypeOf(out), "")
 	de := json.NewDecoder(bytes.NewReader(std))
-	de.DisallowUnknownFields()
 	if err := de.Decode(out); err != nil {
-		return Faults{decodeFault(std, de.InputOffset(), err)}
+		fs = append(fs, decodeFault(std, de.InputOffset(), err))
+	}
+	if len(fs) > 0 {
+		return Locate(data, fs)
 	}
 	return nil
 }
@@ -84,11 +91,6 @@
 	if errors.As(err, &te) {
 		return Fault{Line: lineAt(std, te.Offset), Field: te.Field, Value: te.Value, What: "want " + te.Type.String()}
 	}
-	name, unknown := strings.CutPrefix(err.Error(), "json: unknown field ")
-	if unknown {
-		name = strings.Trim(name, `"`)
-		return Fault{Line: lineOfField(std, name), Field: name, Value: "an unknown field", What: "no such field"}
-	}
 	return Fault{Line: lineAt(std, offset), Field: "(document)", Value: "unreadable value", What: err.Error()}
 }
 
@@ -117,3 +119,30 @@
 	}
 	return line
 }
+
+// Join returns the faults that Parse found together with those of a check of
+// the values, or nil when there are none.
+func Join(data []byte, err error, checked Faults) error {
+	var parsed Faults
+	if err != nil && !errors.As(err, &parsed) {
+		return err
+	}
+	if fs := append(parsed, Locate(data, checked)...); len(fs) > 0 {
+		return fs
+	}
+	return nil
+}
+
+// HasField tells whether the document is an object with a field of that name.
+func HasField(data []byte, name string) bool {
+	std, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return false
+	}
+	fields := make(map[string]json.RawMessage)
+	if json.Unmarshal(std, &fields) != nil {
+		return false
+	}
+	_, found := fields[name]
+	return found
+}
--- /dev/null
+++ b/internal/setting/parser/unknown.go
@@ -0,0 +1,62 @@
+package parser
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// unknownFields returns a fault for every field in data that the type has no
+// place for. Values of types with their own decoding are not looked into.
+func unknownFields(data []byte, ty reflect.Type, path string) Faults {
+	for ty.Kind() == reflect.Pointer {
+		ty = ty.Elem()
+	}
+	switch {
+	case reflect.PointerTo(ty).Implements(reflect.TypeFor[json.Unmarshaler]()):
+		return nil
+	case ty.Kind() == reflect.Struct:
+		return unknownInObject(data, ty, path)
+	case ty.Kind() == reflect.Slice || ty.Kind() == reflect.Array:
+		return unknownInList(data, ty.Elem(), path)
+	}
+	return nil
+}
+
+func unknownInObject(data []byte, ty reflect.Type, path string) Faults {
+	fields := make(map[string]json.RawMessage)
+	if json.Unmarshal(data, &fields) != nil {
+		return nil
+	}
+	known := make(map[string]reflect.Type)
+	for i := range ty.NumField() {
+		name, _, _ := strings.Cut(ty.Field(i).Tag.Get("json"), ",")
+		known[name] = ty.Field(i).Type
+	}
+	fs := Faults{}
+	for name, value := range fields {
+		full := strings.TrimPrefix(path+"."+name, ".")
+		fty, found := known[name]
+		if !found {
+			fs = append(fs, Fault{Field: full, Value: string(value), What: "no such field"})
+			continue
+		}
+		fs = append(fs, unknownFields(value, fty, full)...)
+	}
+	slices.SortFunc(fs, func(a, b Fault) int { return strings.Compare(a.Field, b.Field) })
+	return fs
+}
+
+func unknownInList(data []byte, ty reflect.Type, path string) Faults {
+	items := []json.RawMessage{}
+	if json.Unmarshal(data, &items) != nil {
+		return nil
+	}
+	fs := Faults{}
+	for i, item := range items {
+		fs = append(fs, unknownFields(item, ty, fmt.Sprintf("%s[%d]", path, i))...)
+	}
+	return fs
+}
--- a/internal/standin/generator/client.go
+++ b/internal/standin/generator/client.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -263,3 +264,34 @@
 }
 
 func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// CallOnce makes the plan's first call that may not be repeated, through its
+// first target, and returns the answer.
+func (pl Plan) CallOnce(ctx context.Context, key string) (string, error) {
+	at := slices.IndexFunc(pl.Services, func(ca Call) bool { return ca.Once })
+	if at < 0 {
+		return "", errors.New("the load file has no call that may not be repeated")
+	}
+	ca := pl.Services[at]
+	url := "http://" + pl.Targets[0].Address + "/services/" + ca.Name + ca.Path
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(`{"visit":"`+key+`"}`))
+	if err != nil {
+		return "", fmt.Errorf("call: %w", err)
+	}
+	setHeaders(rq, arrival{Team: pl.Teams[0]}, time.Duration(ca.TimeoutMs)*time.Millisecond)
+	rq.Header.Set("Idempotency-Key", key)
+	rs, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return "", fmt.Errorf("call: %w", err)
+	}
+	defer rs.Body.Close()
+	const most = 64 << 10
+	body, err := io.ReadAll(io.LimitReader(rs.Body, most))
+	if err != nil {
+		return "", fmt.Errorf("read answer: %w", err)
+	}
+	if rs.StatusCode != http.StatusCreated {
+		return "", fmt.Errorf("call: status %d: %s", rs.StatusCode, body)
+	}
+	return fmt.Sprintf("%s %s: %s", ca.Name, key, bytes.TrimSpace(body)), nil
+}
