test: add the soak, links that can be cut, and an age for grants

The age of a grant is now bounded in the holder's own time, from the owner's clock as heartbeats show it, in place of guessing from gaps in this process: a grant that waited on a cut link is too old as well.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -28,13 +28,28 @@
 	Seed  uint64 `long:"seed" default:"1" description:"seed of the random choices"`
 }
 
+// listenOptions let a stand-in listen elsewhere than where it is listed, for a
+// relay in front of it.
+type listenOptions struct {
+	Listen string `long:"listen" description:"host:port to listen on instead of the fleet file's address"`
+}
+
+func (lo listenOptions) address(listed string) string {
+	if lo.Listen != "" {
+		return lo.Listen
+	}
+	return listed
+}
+
 type engineCommand struct {
 	fleetOptions
+	listenOptions
 	ID ml.EndpointID `long:"id" required:"true" description:"endpoint in the fleet file"`
 }
 
 type serviceCommand struct {
 	fleetOptions
+	listenOptions
 	ID          ml.EndpointID `long:"id" required:"true" description:"endpoint in the fleet file"`
 	Latency     time.Duration `long:"latency" default:"5ms" description:"time that one call takes"`
 	LoseAnswers float64       `long:"lose-answers" description:"share of answers lost after the action, 0 to 1"`
@@ -42,6 +57,7 @@
 
 type platformCommand struct {
 	fleetOptions
+	listenOptions
 }
 
 // Execute runs the stand-in engine. Overload of the cold engine ends it with
@@ -54,6 +70,7 @@
 	ctx, stop := signalContext()
 	defer stop()
 	lo := logger()
+	ep.Address = en.address(ep.Address)
 	ba := &batcher.Batcher{Fleet: fl, Endpoint: ep, Log: lo}
 	ba.Overloaded = func(running int) {
 		lo.Error("overloaded while cold", "endpoint", ep.ID, "requests", running)
@@ -71,6 +88,7 @@
 	}
 	ctx, stop := signalContext()
 	defer stop()
+	ep.Address = se.address(ep.Address)
 	bo := &bookkeeper.Bookkeeper{Endpoint: ep, Log: logger(), Latency: se.Latency, LoseAnswers: se.LoseAnswers, Seed: se.Seed}
 	return bo.Run(ctx)
 }
@@ -83,6 +101,7 @@
 	}
 	ctx, stop := signalContext()
 	defer stop()
+	fl.Platform.Address = pl.address(fl.Platform.Address)
 	re := &recorder.Recorder{Fleet: fl, Log: logger(), Seed: pl.Seed}
 	return re.Run(ctx)
 }
--- a/internal/adapter/appender/appender.go
+++ b/internal/adapter/appender/appender.go
@@ -18,9 +18,9 @@
 }
 
 // New returns the client of the log service at address.
-func New(address string) *Appender {
+func New(so requester.Source, address string) *Appender {
 	const dial, header = 2 * time.Second, 30 * time.Second
-	return &Appender{Address: address, calls: requester.Requester{Client: requester.NewClient(dial, header), Step: "call log"}}
+	return &Appender{Address: address, calls: requester.Requester{Client: requester.NewClient(so, dial, header), Step: "call log"}}
 }
 
 // Append implements ml.Log.
--- a/internal/adapter/invoker/invoker.go
+++ b/internal/adapter/invoker/invoker.go
@@ -24,13 +24,13 @@
 }
 
 // New returns a client of services.
-func New() *Invoker {
+func New(so requester.Source) *Invoker {
 	const dial, answer = time.Second, 15 * time.Minute
-	once := requester.NewClient(dial, answer)
+	once := requester.NewClient(so, dial, answer)
 	// net/http sends a request that carries an Idempotency-Key a second time
 	// when a kept connection breaks. On a new connection it never does.
 	once.Transport.(*http.Transport).DisableKeepAlives = true
-	return &Invoker{client: requester.NewClient(dial, answer), once: once}
+	return &Invoker{client: requester.NewClient(so, dial, answer), once: once}
 }
 
 // hopHeaders are meant for one connection only and not passed on.
--- a/internal/adapter/lister/lister.go
+++ b/internal/adapter/lister/lister.go
@@ -17,9 +17,9 @@
 }
 
 // New returns the client of the list at address.
-func New(address string) *Lister {
+func New(so requester.Source, address string) *Lister {
 	const timeout = 3 * time.Second
-	return &Lister{Address: address, calls: requester.Requester{Client: requester.NewClient(timeout, timeout), Step: "list VMs"}}
+	return &Lister{Address: address, calls: requester.Requester{Client: requester.NewClient(so, timeout, timeout), Step: "list VMs"}}
 }
 
 // List implements ml.VMList.
--- a/internal/adapter/messenger/messenger.go
+++ b/internal/adapter/messenger/messenger.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/requester"
 )
 
 // The methods between entry VMs.
@@ -30,7 +31,8 @@
 
 // Messenger sends messages. It implements ml.Peers.
 type Messenger struct {
-	TLS *tls.Config // nil for plain TCP
+	TLS    *tls.Config // nil for plain TCP
+	Source requester.Source
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -125,10 +127,11 @@
 func (me *Messenger) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	di := me.Source.Dialer(dialTimeout)
 	if me.TLS != nil {
-		return (&tls.Dialer{Config: me.TLS}).DialContext(ctx, "tcp", address)
+		return (&tls.Dialer{NetDialer: di, Config: me.TLS}).DialContext(ctx, "tcp", address)
 	}
-	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	return di.DialContext(ctx, "tcp", address)
 }
 
 func (me *Messenger) drop(address string, conn *jsonrpc2.Conn) {
--- a/internal/adapter/requester/requester.go
+++ b/internal/adapter/requester/requester.go
@@ -19,10 +19,22 @@
 // maxAnswer bounds an answer in bytes.
 const maxAnswer = 64 << 20
 
+// Source is the IP number that connections are made from; nil for any.
+type Source net.IP
+
+// Dialer returns a dialer from the source.
+func (so Source) Dialer(timeout time.Duration) *net.Dialer {
+	di := &net.Dialer{Timeout: timeout, KeepAlive: 15 * time.Second}
+	if so != nil {
+		di.LocalAddr = &net.TCPAddr{IP: net.IP(so)}
+	}
+	return di
+}
+
 // NewClient returns an HTTP client that keeps connections to many peers.
 // Redirects are not followed and requests are never repeated by the client.
-func NewClient(dialTimeout, headerTimeout time.Duration) *http.Client {
-	di := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
+func NewClient(so Source, dialTimeout, headerTimeout time.Duration) *http.Client {
+	di := so.Dialer(dialTimeout)
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: di.DialContext, ResponseHeaderTimeout: headerTimeout,
--- a/internal/adapter/streamer/streamer.go
+++ b/internal/adapter/streamer/streamer.go
@@ -23,12 +23,12 @@
 }
 
 // New returns a client of engines.
-func New() *Streamer {
+func New(so requester.Source) *Streamer {
 	const dial, accept = time.Second, 5 * time.Second
 	const call = 2 * time.Second
 	return &Streamer{
-		streams: requester.NewClient(dial, accept),
-		calls:   requester.Requester{Client: requester.NewClient(dial, call), Step: "call engine"},
+		streams: requester.NewClient(so, dial, accept),
+		calls:   requester.Requester{Client: requester.NewClient(so, dial, call), Step: "call engine"},
 	}
 }
 
--- a/internal/command/operator/operator.go
+++ b/internal/command/operator/operator.go
@@ -59,10 +59,10 @@
 // New returns an operator for the platform at address.
 func New(platform, key string) *Operator {
 	const timeout = 2 * time.Second
-	client := requester.NewClient(timeout, timeout)
+	client := requester.NewClient(nil, timeout, timeout)
 	client.Transport = &bearer{key: key, next: client.Transport}
 	return &Operator{
-		Key: key, log: appender.New(platform), list: lister.New(platform),
+		Key: key, log: appender.New(nil, platform), list: lister.New(nil, platform),
 		calls: requester.Requester{Client: client, Step: "ask entry VM"},
 	}
 }
--- a/internal/command/server/server.go
+++ b/internal/command/server/server.go
@@ -28,6 +28,7 @@
 	"github.com/mulberrylever/mulberrylever/internal/adapter/lister"
 	"github.com/mulberrylever/mulberrylever/internal/adapter/messenger"
 	"github.com/mulberrylever/mulberrylever/internal/adapter/receiver"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/requester"
 	"github.com/mulberrylever/mulberrylever/internal/adapter/streamer"
 	"github.com/mulberrylever/mulberrylever/internal/decision/admitter"
 	"github.com/mulberrylever/mulberrylever/internal/decision/router"
@@ -114,35 +115,38 @@
 	ss, ti := se.Settings, ml.DefaultTiming()
 	se.drained = make(chan struct{})
 	se.started = time.Now()
+	clock := ml.Clock{Began: se.started}
 	peerTLS, err := peerTLS(ss.PeerTLS)
 	if err != nil {
 		return fmt.Errorf("peer TLS: %w", err)
 	}
-	self := ml.EntryVM{ID: ss.VM, Domain: ss.Domain, PeerAddress: ss.PeerAddress, AdminAddress: ss.AdminAddress, State: ml.StateLive}
+	source := requester.Source(net.ParseIP(ss.OutgoingIP))
+	self := ml.EntryVM{ID: ss.VM, Domain: ss.Domain, PeerAddress: ss.PeerAdvertise, AdminAddress: ss.AdminAddress, State: ml.StateLive}
 	se.auditor = &auditor.Auditor{Log: se.Log, Fatal: ss.FatalViolations}
 	se.keeper = &keeper.Keeper{Auditor: se.auditor}
-	log := appender.New(ss.Platform)
-	se.peers = &messenger.Messenger{TLS: peerTLS}
+	log := appender.New(source, ss.Platform)
+	se.peers = &messenger.Messenger{TLS: peerTLS, Source: source}
 	se.follower = follower.New(log, se.keeper, se.Log)
 	se.writer = writer.New(log, se.Log)
 	se.watcher = &watcher.Watcher{
-		List: lister.New(ss.Platform), Peers: se.peers, Keeper: se.keeper, Neighbours: ss.Neighbours,
+		List: lister.New(source, ss.Platform), Peers: se.peers, Keeper: se.keeper, Neighbours: ss.Neighbours,
 		Adopt: se.follower.Adopt, Log: se.Log,
 	}
 	co := se.keeper.View().Config.Routing
 	table := router.NewTable(ss.Domain, router.ByName(co.Policy), co.Candidates, uint64(time.Now().UnixNano()))
 	se.gossiper = gossiper.New(self, ti, table)
+	se.gossiper.Clock = clock
 	se.gossiper.Peers, se.gossiper.Keeper, se.gossiper.Log = se.peers, se.keeper, se.Log
 	se.gossiper.Adopt, se.gossiper.Leaving = se.follower.Adopt, se.leaving.Load
-	engine := streamer.New()
+	engine := streamer.New(source)
 	se.owner = &owner.Owner{
-		Self: ss.VM, Timing: ti, Engine: engine, Membership: se.gossiper, Keeper: se.keeper, Auditor: se.auditor, Log: se.Log,
+		Self: ss.VM, Timing: ti, Clock: clock, Engine: engine, Membership: se.gossiper, Keeper: se.keeper, Auditor: se.auditor, Log: se.Log,
 	}
 	se.gossiper.Loads = se.owner.Loads
 	se.holder = holder.New(ctx, ss.VM, ti)
 	se.holder.Peers, se.holder.Routes, se.holder.Owner, se.holder.Log = se.peers, se.gossiper, se.owner, se.Log
 	se.dispatcher = &dispatcher.Dispatcher{
-		Self: ss.VM, Engine: engine, Service: invoker.New(), Holder: se.holder, Routes: se.gossiper,
+		Self: ss.VM, Engine: engine, Service: invoker.New(source), Holder: se.holder, Routes: se.gossiper,
 		Keeper: se.keeper, Auditor: se.auditor, Log: se.Log,
 	}
 	se.admitter = &admitter.Admitter{MaxBytes: ss.Limits.MaxInFlightBytes}
--- a/internal/duty/gossiper/gossiper.go
+++ b/internal/duty/gossiper/gossiper.go
@@ -35,6 +35,7 @@
 type Gossiper struct {
 	Self    ml.EntryVM
 	Timing  ml.Timing
+	Clock   ml.Clock
 	Peers   ml.Peers
 	Keeper  *keeper.Keeper
 	Loads   func(now time.Time) []ml.OwnedLoad // what this VM owns
@@ -48,13 +49,14 @@
 	book     map[ml.VMID]ml.EntryVM // addresses learnt from heartbeats
 	rotation int
 	busy     map[string]bool // peers with a heartbeat under way
+	ahead    map[ml.VMID]time.Duration
 }
 
 // New returns a gossiper that routes by table.
 func New(self ml.EntryVM, ti ml.Timing, ta *router.Table) *Gossiper {
 	return &Gossiper{
 		Self: self, Timing: ti, lessor: lessor.Lessor{Self: self.ID, Timing: ti},
-		table: ta, book: make(map[ml.VMID]ml.EntryVM), busy: make(map[string]bool),
+		table: ta, book: make(map[ml.VMID]ml.EntryVM), busy: make(map[string]bool), ahead: make(map[ml.VMID]time.Duration),
 	}
 }
 
@@ -108,6 +110,9 @@
 	ack, err := gs.Peers.Heartbeat(ctx, en.PeerAddress, hb)
 	gs.mu.Lock()
 	delete(gs.busy, en.PeerAddress)
+	if err == nil {
+		gs.ahead[en.ID] = ack.Clock - gs.Clock.Read(sent)
+	}
 	if err == nil && en.Domain == gs.Self.Domain {
 		gs.lessor.Acked(en.ID, sent)
 	}
@@ -150,7 +155,21 @@
 		gs.lessor.Heard(now, hb.From, hb.Leaving)
 	}
 	gs.updateTable(now, hb.From, hb.Loads)
-	return ml.HeartbeatAck{Version: gs.Keeper.View().Fleet.Version}
+	return ml.HeartbeatAck{Version: gs.Keeper.View().Fleet.Version, Clock: gs.Clock.Read(now)}
+}
+
+// Age returns the greatest age that an event can have which the clock of
+// another VM showed as at. That clock was read after the heartbeat left and
+// before its answer came, so the difference of the clocks is known to within
+// that time. The second result is false when no answer has come yet.
+func (gs *Gossiper) Age(now time.Time, of ml.VMID, at time.Duration) (time.Duration, bool) {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	if of == gs.Self.ID {
+		return gs.Clock.Read(now) - at, true
+	}
+	ahead, known := gs.ahead[of]
+	return gs.Clock.Read(now) - (at - ahead), known
 }
 
 // MayGrant tells whether this VM may grant work for ep now.
--- a/internal/duty/holder/holder.go
+++ b/internal/duty/holder/holder.go
@@ -18,14 +18,6 @@
 const (
 	// keepInterval is the time between two signs that grants are still held.
 	keepInterval = time.Second
-	// pulse is the time between two beats by which a pause of this process
-	// is noticed.
-	pulse = 20 * time.Millisecond
-	// pauseLimit is the gap between beats that counts as a pause.
-	pauseLimit = 200 * time.Millisecond
-	// distrust is the time after a pause during which answers may have
-	// waited for this process, so that their age is unknown.
-	distrust = 300 * time.Millisecond
 	// maxNews bounds the news that wait for one owner.
 	maxNews = 4096
 	// maxBatch bounds the news of one message.
@@ -37,18 +29,18 @@
 )
 
 var (
-	pauses    = metrics.NewCounter("mulberrylever_pauses_total")
 	newsLost  = metrics.NewCounter("mulberrylever_grant_news_lost_total")
 	staleUses = metrics.NewCounter("mulberrylever_grants_too_old_total")
 )
 
-// errPaused means that a grant's age is unknown.
-var errPaused = errors.New("this process was paused, the grant may be too old")
+// errTooOld means that the owner may have given the grant's place away.
+var errTooOld = errors.New("the grant is too old to be used")
 
 // Routes finds owners.
 type Routes interface {
 	Route(use func(ta *router.Table))
 	PeerAddress(id ml.VMID) string
+	Age(now time.Time, of ml.VMID, at time.Duration) (time.Duration, bool)
 }
 
 // LocalOwner answers for the endpoints that this VM owns.
@@ -69,8 +61,6 @@
 	mu      sync.Mutex
 	held    map[ml.GrantID]*Held
 	senders map[ml.VMID]chan ml.GrantNews
-	beat    time.Time
-	gap     time.Time // end of the last pause
 	ctx     context.Context
 }
 
@@ -95,41 +85,30 @@
 // String names the step in logs.
 func (ho *Holder) String() string { return "grant holder" }
 
-// Run beats and tells owners which grants are still held, until ctx ends.
+// Run tells owners which grants are still held, until ctx ends.
 func (ho *Holder) Run(ctx context.Context) error {
-	ti := time.NewTicker(pulse)
+	ti := time.NewTicker(keepInterval)
 	defer ti.Stop()
-	kept := time.Now()
 	for {
-		now := time.Now()
-		ho.tick(now)
-		if now.Sub(kept) >= keepInterval {
-			kept = now
-			ho.keep()
-		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ti.C:
+			ho.keep()
 		}
 	}
 }
 
-func (ho *Holder) tick(now time.Time) {
-	ho.mu.Lock()
-	defer ho.mu.Unlock()
-	if !ho.beat.IsZero() && now.Sub(ho.beat) > pauseLimit {
-		pauses.Inc()
-		ho.gap = now
+// age returns the greatest age that a grant can have. It was given after this
+// VM asked, and at a reading of the owner's clock that can be told in this
+// VM's own time. A grant that waited for this process, or on a link, is old.
+func (ho *Holder) age(now, asked time.Time, owner ml.VMID, gr ml.Grant) time.Duration {
+	sinceAsked := now.Sub(asked)
+	age, known := ho.Routes.Age(now, owner, gr.Clock)
+	if !known {
+		return sinceAsked
 	}
-	ho.beat = now
-}
-
-// steady tells whether this process has run without a pause lately.
-func (ho *Holder) steady(now time.Time) bool {
-	ho.mu.Lock()
-	defer ho.mu.Unlock()
-	return now.Sub(ho.beat) <= pauseLimit && now.Sub(ho.gap) > distrust
+	return min(max(age, 0), sinceAsked)
 }
 
 // Reserve asks the owner of ep for a grant and waits for it.
@@ -137,6 +116,7 @@
 	patience := time.Duration(re.PatienceMs)*time.Millisecond + answerMargin
 	wait, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
+	asked := time.Now()
 	gr, err := ho.ask(wait, owner, re)
 	now := time.Now()
 	if err != nil {
@@ -150,11 +130,11 @@
 			RetryAfter: time.Duration(gr.RetryAfterMs) * time.Millisecond, Err: errors.New(gr.Reason),
 		}
 	}
-	he := &Held{ID: re.ID, Endpoint: ep, Incarnation: gr.Incarnation, holder: ho, sendBy: now.Add(ho.Timing.GrantTerm / 2)}
-	if !ho.steady(now) {
-		staleUses.Inc()
+	granted := now.Add(-ho.age(now, asked, owner, gr))
+	he := &Held{ID: re.ID, Endpoint: ep, Incarnation: gr.Incarnation, holder: ho, sendBy: granted.Add(ho.Timing.GrantTerm)}
+	if err := he.Usable(now); err != nil {
 		ho.tell(owner, ml.GrantNews{ID: re.ID, Endpoint: ep.ID, Kind: ml.NewsReleased, Outcome: ml.Unsent})
-		return nil, &ml.Error{Type: ml.ErrUnavailable, Step: "reserve " + string(ep.ID), Peer: string(owner), NotRun: true, Err: errPaused}
+		return nil, err
 	}
 	ho.mu.Lock()
 	ho.held[he.ID] = he
@@ -175,9 +155,9 @@
 
 // Usable returns an error when the grant is too old to be used.
 func (he *Held) Usable(now time.Time) error {
-	if now.After(he.sendBy) || !he.holder.steady(now) {
+	if now.After(he.sendBy) {
 		staleUses.Inc()
-		return &ml.Error{Type: ml.ErrUnavailable, Step: "use grant", Peer: string(he.Endpoint.ID), NotRun: true, Err: errPaused}
+		return &ml.Error{Type: ml.ErrUnavailable, Step: "use grant", Peer: string(he.Endpoint.ID), NotRun: true, Err: errTooOld}
 	}
 	return nil
 }
--- a/internal/duty/owner/desk.go
+++ b/internal/duty/owner/desk.go
@@ -183,7 +183,7 @@
 		}
 		de.audit(now, as)
 		grantsMade.Inc()
-		de.answer(as.ID, ml.Grant{Granted: true, Incarnation: de.granter.Limiter.Incarnation()})
+		de.answer(as.ID, ml.Grant{Granted: true, Clock: de.owner.Clock.Read(now), Incarnation: de.granter.Limiter.Incarnation()})
 	}
 }
 
--- a/internal/duty/owner/owner.go
+++ b/internal/duty/owner/owner.go
@@ -28,6 +28,7 @@
 type Owner struct {
 	Self       ml.VMID
 	Timing     ml.Timing
+	Clock      ml.Clock
 	Engine     ml.Engine
 	Membership Membership
 	Keeper     *keeper.Keeper
--- /dev/null
+++ b/internal/proof/prover/soak_test.go
@@ -0,0 +1,407 @@
+//go:build soak
+
+package prover_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/standin/generator"
+	"github.com/mulberrylever/mulberrylever/internal/standin/recorder"
+	"github.com/mulberrylever/mulberrylever/internal/standin/relayer"
+	"github.com/mulberrylever/mulberrylever/internal/state/auditor"
+)
+
+// The fleets at the sizes of the brief.
+var soakSizes = map[string]size{
+	"tinjau": {domains: 3, entries: 2, extraEntries: 1, engines: 5, services: 1, linked: true, latency: 20 * time.Millisecond},
+	"guild":  {domains: 3, entries: 2, engines: 6, extraEngines: 2, services: 1, linked: true, latency: 20 * time.Millisecond},
+}
+
+// soak injects failures into a fleet under load.
+type soak struct {
+	fl    *fleet
+	rng   *rand.Rand
+	start time.Time
+
+	mu       sync.Mutex
+	busy     map[string]bool // what a failure under way has touched
+	injected map[string]int
+	trace    []string
+	chaosNow recorder.Chaos
+	checks   map[string]map[auditor.Invariant]int // by process
+}
+
+// failure is one kind of failure: do starts it and returns how to end it.
+type failure struct {
+	name string
+	pick func(so *soak) string // what it touches
+	do   func(so *soak, at string) (undo func())
+}
+
+func anyOf(kind string) func(so *soak) string {
+	return func(so *soak) string {
+		names := []string{}
+		for name := range so.fl.processes {
+			if strings.Contains(name, kind) {
+				names = append(names, name)
+			}
+		}
+		slices.Sort(names)
+		return names[so.rng.IntN(len(names))]
+	}
+}
+
+func fixed(name string) func(*soak) string { return func(*soak) string { return name } }
+
+func killed(so *soak, at string) func() {
+	so.locked(func() { so.fl.kill(at) })
+	return func() { so.locked(func() { so.fl.start(at) }) }
+}
+
+func frozen(so *soak, at string) func() {
+	so.locked(func() { so.fl.signal(at, syscall.SIGSTOP) })
+	return func() { so.locked(func() { so.fl.signal(at, syscall.SIGCONT) }) }
+}
+
+func stopped(so *soak, at string) func() {
+	so.locked(func() { so.fl.signal(at, syscall.SIGTERM) })
+	return func() {
+		pr := so.fl.processes[at]
+		<-pr.done
+		so.locked(func() {
+			gomega.Expect(so.fl.wait(at)).To(gomega.Equal(0))
+			so.fl.start(at)
+		})
+	}
+}
+
+// cut cuts the links between a domain and the others, out of it or both ways.
+func cut(both bool) func(so *soak, at string) func() {
+	return func(so *soak, at string) func() {
+		links := []relayer.Link{}
+		for _, en := range so.fl.file.VMs.Entries {
+			for _, name := range so.names() {
+				inside, other := strings.HasPrefix(string(en.ID), at), strings.HasPrefix(name, at)
+				if name == "platform" || inside == other {
+					continue
+				}
+				if inside || both {
+					links = append(links, relayer.Link{From: string(en.ID), To: name})
+				}
+				if !inside || both {
+					links = append(links, relayer.Link{From: name, To: string(en.ID)})
+				}
+			}
+		}
+		for _, li := range links {
+			so.fl.relays.Cut(li)
+		}
+		return func() {
+			for _, li := range links {
+				so.fl.relays.Mend(li)
+			}
+		}
+	}
+}
+
+func cutPlatform(so *soak, at string) func() {
+	for _, en := range so.fl.file.VMs.Entries {
+		if strings.HasPrefix(string(en.ID), at) {
+			so.fl.relays.Cut(relayer.Link{From: string(en.ID), To: "platform"})
+		}
+	}
+	return func() {
+		for _, en := range so.fl.file.VMs.Entries {
+			so.fl.relays.Mend(relayer.Link{From: string(en.ID), To: "platform"})
+		}
+	}
+}
+
+func disturbed(change func(ch *recorder.Chaos, at string)) func(so *soak, at string) func() {
+	return func(so *soak, at string) func() {
+		so.locked(func() {
+			change(&so.chaosNow, at)
+			so.fl.chaos(so.chaosNow)
+		})
+		return func() {
+			so.locked(func() {
+				so.chaosNow = recorder.Chaos{}
+				so.fl.chaos(so.chaosNow)
+			})
+		}
+	}
+}
+
+func domainOut(so *soak, at string) func() {
+	out, code := so.fl.operate("domain", "out", at, "--reason", "soak", "--by", "soak")
+	so.note("domain out %s: %d %s", at, code, out)
+	return func() {
+		for {
+			out, code := so.fl.operate("domain", "in", at, "--by", "soak")
+			if code == 0 || code == 3 || strings.Contains(out, "is not out of service") {
+				return
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+	}
+}
+
+// race lets two operators change the configuration at once.
+func race(so *soak, _ string) func() {
+	wg := sync.WaitGroup{}
+	for i := range 2 {
+		wg.Go(func() {
+			out, code := so.fl.operate("exception", "add", "--scope", "team", "--name", "a", "--field", "weight",
+				"--value", strconv.Itoa(i+1), "--reason", "soak", "--by", fmt.Sprintf("operator%d", i))
+			so.note("race %d: %d %s", i, code, out)
+		})
+	}
+	wg.Wait()
+	return func() {}
+}
+
+var failures = []failure{
+	{"kill entry VM", anyOf("entry"), killed},
+	{"freeze entry VM", anyOf("entry"), frozen},
+	{"stop entry VM gracefully", anyOf("entry"), stopped},
+	{"kill engine", anyOf("engine"), killed},
+	{"freeze engine", anyOf("engine"), frozen},
+	{"turn engine cold", anyOf("engine"), func(so *soak, at string) func() { so.fl.turnCold(at); return func() {} }},
+	{"kill service", anyOf("service"), killed},
+	{"cut domain off", anyDomain, cut(true)},
+	{"cut domain off in one direction", anyDomain, cut(false)},
+	{"cut domain off from platform", anyDomain, cutPlatform},
+	{"platform outage", fixed("platform"), disturbed(func(ch *recorder.Chaos, _ string) { ch.Outage = true })},
+	{"slow platform", fixed("platform"), disturbed(func(ch *recorder.Chaos, _ string) { ch.DelayMs = 400 })},
+	{"lost answers", fixed("platform"), disturbed(func(ch *recorder.Chaos, _ string) { ch.LoseAnswers = 0.4 })},
+	{"engine leaves", fixed("platform"), disturbed(func(ch *recorder.Chaos, _ string) { ch.Leaving = []string{"d1-engine1"} })},
+	{"domain out and back", anyDomain, domainOut},
+	{"operators race", fixed("operators"), race},
+}
+
+func anyDomain(so *soak) string { return fmt.Sprintf("d%d", 1+so.rng.IntN(so.fl.size.domains)) }
+
+func (so *soak) names() []string {
+	out := []string{"platform"}
+	for _, en := range so.fl.file.VMs.Entries {
+		out = append(out, string(en.ID))
+	}
+	for _, ep := range so.fl.file.VMs.Endpoints {
+		out = append(out, string(ep.ID))
+	}
+	return out
+}
+
+// locked guards the fleet's processes.
+func (so *soak) locked(use func()) {
+	so.mu.Lock()
+	defer so.mu.Unlock()
+	use()
+}
+
+func (so *soak) note(format string, args ...any) {
+	so.mu.Lock()
+	defer so.mu.Unlock()
+	so.trace = append(so.trace, fmt.Sprintf("%8.2f s  ", time.Since(so.start).Seconds())+strings.TrimSpace(fmt.Sprintf(format, args...)))
+}
+
+// loopInject injects one failure after another until end. The schedule
+// depends on the seed alone, not on how long an operation takes.
+func (so *soak) loopInject(end time.Time, rng *rand.Rand, pause time.Duration) {
+	defer ginkgo.GinkgoRecover()
+	for time.Now().Before(end) {
+		so.mu.Lock()
+		fa := failures[rng.IntN(len(failures))]
+		at := fa.pick(so)
+		domain, _, _ := strings.Cut(at, "-")
+		touched := so.busy[at] || so.busy[domain]
+		if !touched {
+			so.busy[at], so.busy[domain] = true, true
+			so.injected[fa.name]++
+		}
+		length := time.Duration(500+rng.IntN(4500)) * time.Millisecond
+		so.mu.Unlock()
+		if touched {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		so.note("%s at %s for %v", fa.name, at, length)
+		undo := fa.do(so, at)
+		time.Sleep(length)
+		undo()
+		so.note("%s at %s is over", fa.name, at)
+		time.Sleep(pause)
+		so.locked(func() { delete(so.busy, at); delete(so.busy, domain) })
+	}
+}
+
+// loopCount reads how many checks the entry VMs have made.
+func (so *soak) loopCount(ctx context.Context) {
+	for ctx.Err() == nil {
+		for i, en := range so.fl.file.VMs.Entries {
+			counts, err := readChecks(so.fl, en)
+			if err == nil {
+				so.merge(fmt.Sprintf("%d/%d", i, counts.process), counts.checks)
+			}
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+func (so *soak) merge(process string, checks map[auditor.Invariant]int) {
+	so.mu.Lock()
+	defer so.mu.Unlock()
+	so.checks[process] = checks
+}
+
+// checkCounts are the checks that one process has made.
+type checkCounts struct {
+	process int // its start, in Unix seconds
+	checks  map[auditor.Invariant]int
+}
+
+func readChecks(fl *fleet, en ml.EntryVM) (checkCounts, error) {
+	out := checkCounts{checks: make(map[auditor.Invariant]int)}
+	text, err := fl.getText(en.AdminAddress, "/metrics")
+	if err != nil {
+		return out, err
+	}
+	for _, line := range strings.Split(text, "\n") {
+		var n int
+		if _, err := fmt.Sscanf(line, "process_start_time_seconds %d", &n); err == nil {
+			out.process = n
+		}
+		for _, in := range auditor.All {
+			prefix := fmt.Sprintf("mulberrylever_invariant_checks_total{invariant=%q} ", in)
+			if rest, found := strings.CutPrefix(line, prefix); found {
+				out.checks[in], _ = strconv.Atoi(rest)
+			}
+		}
+	}
+	return out, nil
+}
+
+// table writes the result of a run.
+func (so *soak) table(results []generator.Result, violations []string) string {
+	sb := strings.Builder{}
+	tw := tabwriter.NewWriter(&sb, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "invariant\tchecks\tviolations")
+	for _, in := range auditor.All {
+		n, bad := 0, 0
+		for _, checks := range so.checks {
+			n += checks[in]
+		}
+		for _, vi := range violations {
+			if strings.Contains(vi, `"invariant":"`+string(in)+`"`) {
+				bad++
+			}
+		}
+		fmt.Fprintf(tw, "%s\t%d\t%d\n", in, n, bad)
+	}
+	fmt.Fprintln(tw, "\nfailure\tinjected\t")
+	for _, fa := range failures {
+		fmt.Fprintf(tw, "%s\t%d\t\n", fa.name, so.injected[fa.name])
+	}
+	_ = tw.Flush()
+	fmt.Fprintln(&sb)
+	_ = generator.WriteTable(&sb, generator.Summarize(results))
+	fmt.Fprintf(&sb, "%d requests, %d lost\n", len(results), len(lost(results)))
+	return sb.String()
+}
+
+// checkRuns compares what callers were told with the runs that the services
+// logged, which outlive their processes.
+func checkRuns(fl *fleet, results []generator.Result) []string {
+	runs, out := make(map[string]int), []string{}
+	for _, line := range strings.Split(fl.logs(), "\n") {
+		if _, rest, found := strings.Cut(line, `"msg":"run","key":"`); found {
+			key, _, _ := strings.Cut(rest, `"`)
+			runs[key]++
+		}
+	}
+	for _, rs := range results {
+		n := runs[rs.Key]
+		if rs.Key != "" && (n > 1 || (n > 0 && rs.Outcome == generator.Refused) || (n == 0 && rs.Outcome == generator.OK)) {
+			out = append(out, fmt.Sprintf("key %s: %s, has run %d times", rs.Key, rs.Outcome, n))
+		}
+	}
+	return out
+}
+
+func env(name, fallback string) string {
+	if value := os.Getenv(name); value != "" {
+		return value
+	}
+	return fallback
+}
+
+var _ = ginkgo.Describe("soak", func() {
+	ginkgo.It("keeps every invariant", func() {
+		seed, err := strconv.ParseUint(env("SEED", "1"), 10, 64)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		length, err := time.ParseDuration(env("DURATION", "60s"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		fl := startFleet(soakSizes[env("FLEET", "tinjau")], "")
+		defer fl.stop()
+		fl.plan.Rate = 25
+		fl.plan.SharedPrefix = 0.3
+		fl.plan.Prompts = []generator.Prompt{
+			{Name: "short", Weight: 70, MinTokens: 1000, MaxTokens: 4000, Answer: 32, TimeoutMs: 15_000},
+			{Name: "medium", Weight: 15, MinTokens: 4000, MaxTokens: 30_000, Answer: 48, TimeoutMs: 25_000},
+			{Name: "long", Weight: 2, MinTokens: 100_000, MaxTokens: 200_000, Answer: 64, TimeoutMs: 60_000},
+			{Name: "huge", Weight: 0.2, MinTokens: 900_000, MaxTokens: 1_000_000, Answer: 64, TimeoutMs: 60_000},
+		}
+		fl.plan.Services = []generator.Call{
+			{Name: "bookings", Path: "/bookings", Once: true, Weight: 8, TimeoutMs: 10_000},
+			{Name: "bookings", Path: "/bookings/7", Weight: 5, TimeoutMs: 8000},
+		}
+		so := &soak{
+			fl: fl, rng: rand.New(rand.NewPCG(seed, 11)), start: time.Now(), busy: make(map[string]bool),
+			injected: make(map[string]int), checks: make(map[string]map[auditor.Invariant]int),
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go so.loopCount(ctx)
+		end := so.start.Add(length)
+		wg := sync.WaitGroup{}
+		wg.Go(func() { so.loopInject(end, rand.New(rand.NewPCG(seed, 12)), 1500*time.Millisecond) })
+		wg.Go(func() { so.loopInject(end, rand.New(rand.NewPCG(seed, 13)), 4*time.Second) })
+		ge := &generator.Generator{Plan: fl.plan, Seed: seed, Length: length}
+		results, err := ge.Run(context.Background())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		wg.Wait()
+		fl.waitReady(len(fl.file.VMs.Entries))
+		held := fl.heldAfter(20 * time.Second)
+		overloads := fl.overloads()
+		versions := map[ml.Version]bool{}
+		for _, en := range fl.file.VMs.Entries {
+			versions[fl.version(en)] = true
+		}
+		fl.stop()
+		violations, runs := fl.violations(), checkRuns(fl, results)
+		fmt.Printf("soak of %s, seed %d, %v\n%s\n", env("FLEET", "tinjau"), seed, length, so.table(results, violations))
+		if file := os.Getenv("TRACE"); file != "" {
+			_ = os.WriteFile(file, []byte(strings.Join(so.trace, "\n")+"\n"+fl.logs()), 0o600)
+		}
+		gomega.Expect(violations).To(gomega.BeEmpty())
+		gomega.Expect(runs).To(gomega.BeEmpty())
+		gomega.Expect(held).To(gomega.BeEmpty(), "memory still held")
+		gomega.Expect(overloads).To(gomega.BeZero(), "cold engines overloaded")
+		gomega.Expect(versions).To(gomega.HaveLen(1), "versions in force")
+		gomega.Expect(describe(results)).To(gomega.BeEmpty())
+	})
+})
--- a/internal/setting/loader/loader.go
+++ b/internal/setting/loader/loader.go
@@ -41,7 +41,9 @@
 	Domain          ml.DomainID `json:"domain"`
 	CallerAddress   string      `json:"callerAddress"` // host:port for callers
 	PeerAddress     string      `json:"peerAddress"`   // host:port for other entry VMs
+	PeerAdvertise   string      `json:"peerAdvertise"` // host:port told to other entry VMs; peerAddress when empty
 	AdminAddress    string      `json:"adminAddress"`  // host:port for operators
+	OutgoingIP      string      `json:"outgoingIp"`    // IP number that connections are made from; any when empty
 	Platform        string      `json:"platform"`      // host:port of the platform's services
 	Neighbours      []string    `json:"neighbours"`    // peer addresses asked when the platform is down
 	CallerTLS       TLS         `json:"callerTls"`
@@ -70,6 +72,7 @@
 func Parse(data []byte) (Settings, error) {
 	se := Default()
 	err := parser.Parse(data, &se)
+	se.fill()
 	return se, parser.Join(data, err, se.Check())
 }
 
@@ -89,6 +92,13 @@
 	}
 }
 
+// fill fills the fields whose default is another field.
+func (se *Settings) fill() {
+	if se.PeerAdvertise == "" {
+		se.PeerAdvertise = se.PeerAddress
+	}
+}
+
 // Check returns everything wrong with the settings.
 func (se Settings) Check() parser.Faults {
 	fs := parser.Faults{}
@@ -104,6 +114,7 @@
 	addresses := []struct{ field, value string }{
 		{"callerAddress", se.CallerAddress},
 		{"peerAddress", se.PeerAddress},
+		{"peerAdvertise", se.PeerAdvertise},
 		{"adminAddress", se.AdminAddress},
 		{"platform", se.Platform},
 	}
@@ -116,6 +127,9 @@
 			add(ad.field, ad.value, "want an IP number and a port, such as 10.0.0.1:8080")
 		}
 	}
+	if se.OutgoingIP != "" && net.ParseIP(se.OutgoingIP) == nil {
+		add("outgoingIp", se.OutgoingIP, "want an IP number")
+	}
 	seen := make(map[string]bool)
 	for i, ak := range se.AccessKeys {
 		field := fmt.Sprintf("accessKeys[%d].key", i)
--- a/messages.go
+++ b/messages.go
@@ -3,8 +3,18 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 )
 
+// Clock is one VM's own clock: the time since its process began. Clocks of
+// different VMs begin at different times and advance at the same rate.
+type Clock struct {
+	Began time.Time
+}
+
+// Read returns the clock's reading at now.
+func (cl Clock) Read(now time.Time) time.Duration { return now.Sub(cl.Began) }
+
 // EndpointLoad is how much an endpoint has been given, as its owner counts
 // it. It travels with every heartbeat, hence the short names.
 type EndpointLoad struct {
@@ -38,7 +48,8 @@
 
 // HeartbeatAck answers a heartbeat.
 type HeartbeatAck struct {
-	Version Version `json:"version"`
+	Version Version       `json:"version"`
+	Clock   time.Duration `json:"clock"` // the answering VM's own clock
 }
 
 // Reservation asks an endpoint's owner for a grant. Lengths of time are
@@ -61,11 +72,12 @@
 
 // Grant answers a reservation.
 type Grant struct {
-	Granted      bool        `json:"granted"`
-	Incarnation  Incarnation `json:"incarnation,omitempty"` // of the endpoint, as the owner knows it
-	Type         ErrorType   `json:"type,omitempty"`        // of the refusal
-	Reason       string      `json:"reason,omitempty"`
-	RetryAfterMs int64       `json:"retryAfterMs,omitempty"`
+	Granted      bool          `json:"granted"`
+	Clock        time.Duration `json:"clock,omitempty"`       // the owner's own clock at the grant
+	Incarnation  Incarnation   `json:"incarnation,omitempty"` // of the endpoint, as the owner knows it
+	Type         ErrorType     `json:"type,omitempty"`        // of the refusal
+	Reason       string        `json:"reason,omitempty"`
+	RetryAfterMs int64         `json:"retryAfterMs,omitempty"`
 }
 
 // NewsKind tells what happened to a grant.
