--- a/internal/decision/granter/granter_test.go
+++ b/internal/decision/granter/granter_test.go
@@ -60,7 +60,7 @@
 	case "release":
 		sc.gr.Release(sc.now, ml.GrantID(text(td, "id", "")), ml.GrantOutcome(text(td, "outcome", "completed")))
 	case "report":
-		return sc.report(t, td)
+		return sc.report(td)
 	case "expired":
 		out := []string{}
 		for _, as := range sc.gr.Expired(sc.now) {
@@ -100,7 +100,7 @@
 
 // report gives the engine's list: one id and its unprocessed tokens a line. It
 // lists what must be cancelled.
-func (sc *script) report(t *testing.T, td *datadriven.TestData) string {
+func (sc *script) report(td *datadriven.TestData) string {
 	re := ml.EngineReport{Incarnation: ml.Incarnation(text(td, "incarnation", "i"))}
 	for _, line := range strings.Split(strings.TrimSpace(td.Input), "\n") {
 		ho := ml.Hold{Kind: "stream", Tokens: 1000}
--- a/internal/proof/prover/fleet_test.go
+++ b/internal/proof/prover/fleet_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -294,16 +293,6 @@
 	return requester.Requester{Client: fl.client, Step: "ask"}.Do(context.Background(), http.MethodGet, address, path, nil, out)
 }
 
-func (fl *fleet) getText(address, path string) (string, error) {
-	rs, err := fl.client.Get("http://" + address + path)
-	if err != nil {
-		return "", err
-	}
-	defer rs.Body.Close()
-	text, err := io.ReadAll(rs.Body)
-	return string(text), err
-}
-
 // chaos makes the platform misbehave.
 func (fl *fleet) chaos(ch recorder.Chaos) {
 	err := requester.Requester{Client: fl.client, Step: "chaos"}.Do(context.Background(), http.MethodPost, fl.file.Platform.Address, "/chaos", ch, nil)
--- a/internal/proof/prover/soak_test.go
+++ b/internal/proof/prover/soak_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -295,6 +296,16 @@
 	return out, nil
 }
 
+func (fl *fleet) getText(address, path string) (string, error) {
+	rs, err := fl.client.Get("http://" + address + path)
+	if err != nil {
+		return "", err
+	}
+	defer rs.Body.Close()
+	text, err := io.ReadAll(rs.Body)
+	return string(text), err
+}
+
 // table writes the result of a run.
 func (so *soak) table(results []generator.Result, violations []string) string {
 	sb := strings.Builder{}
--- a/internal/state/folder/folder_test.go
+++ b/internal/state/folder/folder_test.go
@@ -25,7 +25,6 @@
 type history struct {
 	records []ml.Record
 	reader  folder.Folder // reads everything at once
-	version ml.Version
 }
 
 func (hi *history) append(t *rapid.T, id, kind string, body any) {
