fix: check a restart right before a large prompt is sent

Nothing broke to tell of the restart, since nothing ran. Ruled out: the limiter (one request only) and the lag of the load report (its incarnation had not changed for the owner yet).

Before a prompt larger than half the cold capacity is sent, the engine is asked whether it is still the process that the owner knows.

--- a/internal/duty/dispatcher/stream.go
+++ b/internal/duty/dispatcher/stream.go
@@ -38,11 +38,13 @@
 func (di *Dispatcher) send(ctx context.Context, rq *Request, si Sink, he *holder.Held, gr *group) (ml.GrantOutcome, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	now := time.Now()
-	if err := he.Usable(now); err != nil {
+	di.checkInService(time.Now(), he.Endpoint)
+	if err := di.checkWarm(ctx, rq, he); err != nil {
+		return ml.Broken, err
+	}
+	if err := he.Usable(time.Now()); err != nil {
 		return ml.Unsent, err
 	}
-	di.checkInService(now, he.Endpoint)
 	ge := ml.Generation{
 		ID: he.ID, Model: rq.Model, Prompt: rq.Prompt, MaxTokens: rq.MaxTokens, Position: rq.Position,
 		Generated: string(rq.text), Priority: int(rq.Length), Group: gr.list(), Sampling: rq.Sampling,
@@ -70,6 +72,28 @@
 	return outcomeOf(ctx), err
 }
 
+// checkWarm asks the engine, right before a prompt that it could not carry when
+// cold is sent, whether it is still the process that the owner knows. Smaller
+// prompts need no such check: the owner lets so few of them be under way,
+// unconfirmed, that a cold engine can carry them.
+func (di *Dispatcher) checkWarm(ctx context.Context, rq *Request, he *holder.Held) error {
+	const share = 2 // as many again may come while news of the first is under way
+	if rq.Tokens <= he.Endpoint.ColdTokens/share {
+		return nil
+	}
+	re, err := di.Engine.Report(ctx, he.Endpoint)
+	if err != nil {
+		return &ml.Error{Type: ml.ErrEndpointFailed, Step: "check engine", Peer: string(he.Endpoint.ID), NotRun: true, Err: err}
+	}
+	if re.Incarnation != he.Incarnation {
+		return &ml.Error{
+			Type: ml.ErrEndpointFailed, Step: "check engine", Peer: string(he.Endpoint.ID), NotRun: true,
+			Err: errors.New("the engine has restarted and is cold"),
+		}
+	}
+	return nil
+}
+
 // relay passes the tokens of a stream on. It checks that each is the next one
 // of this answer.
 func (di *Dispatcher) relay(cancel context.CancelCauseFunc, rq *Request, si Sink, st ml.Stream, from Source) error {
