--- a/Makefile
+++ b/Makefile
@@ -7,15 +7,18 @@
 SEED ?= 1
 DURATION ?= 5m
 
-.PHONY: build test lint demo soak
+.PHONY: build test lint demo soak model bench
 
 build: ## builds both programs into bin/
 	go build -ldflags "-X main.release=$$(git describe --always --dirty 2>/dev/null || echo dev)" -o bin/ ./cmd/...
 
-test: build lint ## what CI runs
+test: build lint model ## what CI runs
 	go vet ./...
 	go test ./...
 
+model: ## checks the specifications with spin; the broken variants must be rejected
+	model/run.sh
+
 lint: ## format and linter
 	@out=$$($(GOFUMPT) -l .); if [ -n "$$out" ]; then echo "gofumpt differs in:"; echo "$$out"; exit 1; fi
 	$(LINT) run ./...
