--- a/internal/adapter/administrator/administrator.go
+++ b/internal/adapter/administrator/administrator.go
@@ -35,6 +35,7 @@
 type Administrator struct {
 	Key    string // bearer key for all but health and readiness; empty for none
 	Status func(now time.Time) Status
+	Ready  func(now time.Time) (why string) // why it is not ready, or empty
 	Fleet  func() *folder.Fleet
 	Burn   func(now time.Time) any
 }
@@ -52,9 +53,8 @@
 }
 
 func (ad *Administrator) ready(w http.ResponseWriter, _ *http.Request) {
-	st := ad.Status(time.Now())
-	if !st.Ready {
-		http.Error(w, st.Why, http.StatusServiceUnavailable)
+	if why := ad.Ready(time.Now()); why != "" {
+		http.Error(w, why, http.StatusServiceUnavailable)
 		return
 	}
 	_, _ = w.Write([]byte("ready\n"))
--- a/internal/command/commander/commander.go
+++ b/internal/command/commander/commander.go
@@ -88,6 +88,7 @@
 		add(group, "in", "take a "+scope+" back into service", &markCommand{scope: scope})
 		add(group, "list", "list every "+scope, &markListCommand{scope: scope})
 	}
+	add(pa.Command, "report", "print the report on service-level burn", &reportCommand{})
 	add(pa.Command, "status", "print what every entry VM says of itself", &statusCommand{})
 	add(pa.Command, "version", "print the release", &versionCommand{release: co.Release})
 }
--- a/internal/command/server/server.go
+++ b/internal/command/server/server.go
@@ -42,6 +42,7 @@
 	"github.com/mulberrylever/mulberrylever/internal/duty/writer"
 	"github.com/mulberrylever/mulberrylever/internal/setting/loader"
 	"github.com/mulberrylever/mulberrylever/internal/state/auditor"
+	"github.com/mulberrylever/mulberrylever/internal/state/burner"
 	"github.com/mulberrylever/mulberrylever/internal/state/folder"
 	"github.com/mulberrylever/mulberrylever/internal/state/keeper"
 	"github.com/mulberrylever/mulberrylever/internal/state/mutator"
@@ -66,6 +67,7 @@
 	admitter   *admitter.Admitter
 	peers      *messenger.Messenger
 	receiver   *receiver.Receiver
+	observer   observer
 
 	started     time.Time
 	stopCallers func(context.Context) error
@@ -124,6 +126,8 @@
 	self := ml.EntryVM{ID: ss.VM, Domain: ss.Domain, PeerAddress: ss.PeerAdvertise, AdminAddress: ss.AdminAddress, State: ml.StateLive}
 	se.auditor = &auditor.Auditor{Log: se.Log, Fatal: ss.FatalViolations}
 	se.keeper = &keeper.Keeper{Auditor: se.auditor}
+	se.observer = observer{keeper: se.keeper, burner: &burner.Burner{}, domain: ss.Domain}
+	se.keeper.InForce = se.observer.inForce
 	log := appender.New(source, ss.Platform)
 	se.peers = &messenger.Messenger{TLS: peerTLS, Source: source}
 	se.follower = follower.New(log, se.keeper, se.Log)
@@ -153,7 +157,7 @@
 	se.receiver = &receiver.Receiver{
 		Settings: ss, Keeper: se.keeper, Admitter: se.admitter, Dispatcher: se.dispatcher,
 		Claimer: &claimer.Claimer{Self: ss.VM, Follower: se.follower, Writer: se.writer, Auditor: se.auditor, Log: se.Log},
-		Auditor: se.auditor, Models: se.models, Observer: observer{}, Log: se.Log,
+		Auditor: se.auditor, Models: se.models, Observer: se.observer, Log: se.Log,
 	}
 	return nil
 }
@@ -227,7 +231,7 @@
 	}, func(error) { _ = callers.Close() })
 	peers := &messenger.Server{Handler: handler{se}}
 	gr.Add(func() error { return peers.Serve(li.peer) }, func(error) { _ = li.peer.Close() })
-	ad := &administrator.Administrator{Key: se.Settings.AdminKey, Status: se.status, Fleet: se.fleet, Burn: se.burn}
+	ad := &administrator.Administrator{Key: se.Settings.AdminKey, Status: se.status, Ready: se.notReady, Fleet: se.fleet, Burn: se.burn}
 	admin := &http.Server{Handler: ad.Handler(), ReadHeaderTimeout: 10 * time.Second}
 	gr.Add(func() error { return admin.Serve(li.admin) }, func(error) { _ = admin.Close() })
 }
@@ -264,7 +268,7 @@
 	st := administrator.Status{
 		VM: se.Settings.VM, Domain: se.Settings.Domain, Release: se.Release, Version: se.keeper.View().Fleet.Version,
 		LogHealthy: se.follower.Healthy(now), InFlight: se.admitter.InFlight(), Grants: se.holder.InUse(),
-		Alive: se.gossiper.Alive(now), Owned: se.owner.Loads(now), Alerts: []string{},
+		Alive: se.gossiper.Alive(now), Owned: se.owner.Loads(now), Alerts: se.observer.alerts(now),
 	}
 	st.Why = se.notReady(now)
 	st.Ready = st.Why == ""
@@ -374,11 +378,11 @@
 	}
 }
 
-// observer drops what it is told.
-type observer struct{}
-
-// Observe implements receiver.Observer.
-func (observer) Observe(time.Time, receiver.Entry) {}
-
-// burn is empty until objectives are recorded.
-func (se *Server) burn(time.Time) any { return struct{}{} }
+// burn returns what this VM has counted against the objectives.
+func (se *Server) burn(now time.Time) any {
+	sn, err := se.observer.burner.Snapshot(now)
+	if err != nil {
+		se.Log.Error("count burn", "error", err)
+	}
+	return sn
+}
--- a/internal/state/folder/fleet.go
+++ b/internal/state/folder/fleet.go
@@ -53,6 +53,16 @@
 // endpoint's id.
 func (fl *Fleet) VMIsOut(id string) bool { return has(fl.VMsOut, id) }
 
+// Changed returns when the log took the change that is in force.
+func (fl *Fleet) Changed() time.Time {
+	for _, ou := range slices.Backward(fl.History) {
+		if ou.Accepted {
+			return ou.At
+		}
+	}
+	return time.Time{}
+}
+
 // Outcome returns what became of the change with an id.
 func (fl *Fleet) Outcome(id string) (Outcome, bool) {
 	i := slices.IndexFunc(fl.History, func(ou Outcome) bool { return ou.ID == id })
--- a/internal/state/keeper/keeper.go
+++ b/internal/state/keeper/keeper.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/setting/configurer"
@@ -24,6 +25,7 @@
 // Keeper holds the newest state.
 type Keeper struct {
 	Auditor *auditor.Auditor
+	InForce func(changed time.Time) // told when a change is in force here; may be nil
 
 	mu   sync.Mutex // held by writers
 	view atomic.Pointer[View]
@@ -56,6 +58,9 @@
 		}
 	}
 	ke.view.Store(&View{Fleet: fl, Config: configurer.Resolve(fl.Config, fl.Exceptions)})
+	if ke.InForce != nil && old != nil && fl.Version > old.Fleet.Version {
+		ke.InForce(fl.Changed())
+	}
 }
 
 // VMs returns the newest list of VMs.
