--- a/internal/command/reporter/reporter.go
+++ b/internal/command/reporter/reporter.go
@@ -159,14 +159,14 @@
 
 // barWidth is the width of a bar, in pixels: burn 1 is a quarter of the most.
 func barWidth(burn float64) int {
-	const most, one = 200, 50
+	const most, one = 250, 50
 	return min(int(burn*one), most)
 }
 
 var page = template.Must(template.New("report").Funcs(template.FuncMap{"width": barWidth}).Parse(`<!doctype html>
 <html lang="en"><head><meta charset="utf-8"><title>Service-level burn</title>
 <style>
-body{font:15px/1.5 system-ui,sans-serif;margin:2rem auto;max-width:70rem;padding:0 1rem;color:#222}
+body{font:15px/1.5 system-ui,sans-serif;margin:2rem auto;max-width:76rem;padding:0 1rem;color:#222}
 table{border-collapse:collapse;width:100%;margin:1rem 0 2rem}
 th,td{text-align:left;padding:.35rem .6rem;border-bottom:1px solid #ddd;vertical-align:middle;white-space:nowrap}
 td.n,th.n{text-align:right;font-variant-numeric:tabular-nums}
@@ -177,7 +177,7 @@
 <p>{{len .VMs}} entry VMs answered{{if .Missing}}, these did not: {{range .Missing}}{{.}} {{end}}{{end}}. Burn 1 uses up the error budget exactly; the dashed line marks it.</p>
 <table><tr><th>Objective</th><th>For</th><th class="n">Target %</th>{{range .Windows}}<th>Burn {{.}}</th>{{end}}<th class="n">Events</th><th class="n">Budget left %</th></tr>
 {{range .Lines}}<tr><td>{{.Objective}}</td><td>{{.Name}}</td><td class="n">{{printf "%.1f" .Target}}</td>
-{{range .Burn}}<td><svg width="130" height="16" viewBox="0 0 260 32" role="img" aria-label="burn {{printf "%.2f" .}}"><rect class="{{if gt . 1.0}}bad{{else}}ok{{end}}" x="0" y="6" width="{{width .}}" height="20"/><line x1="50" x2="50" y1="0" y2="32"/></svg> {{printf "%.2f" .}}</td>{{end}}
+{{range .Burn}}<td><svg width="70" height="14" viewBox="0 0 260 32" role="img" aria-label="burn {{printf "%.2f" .}}"><rect class="{{if gt . 1.0}}bad{{else}}ok{{end}}" x="0" y="6" width="{{width .}}" height="20"/><line x1="50" x2="50" y1="0" y2="32"/></svg> {{printf "%.2f" .}}</td>{{end}}
 <td class="n">{{.Total}}</td><td class="n">{{printf "%.1f" .Left}}</td></tr>
 {{range .Alerts}}<tr><td colspan="9" class="alert">{{.}}</td></tr>{{end}}{{end}}</table>
 <h2>Time to the first token</h2>
