--- a/internal/proof/prover/invariants_test.go
+++ b/internal/proof/prover/invariants_test.go
@@ -86,7 +86,7 @@
 	}},
 	{auditor.NotRunTrue, mutator.NotRun, size{domains: 1, entries: 1, services: 1, loseAnswers: 0.5}, func(fl *fleet) []string {
 		fl.plan.Services = []generator.Call{{Name: "bookings", Path: "/bookings", Once: true, Weight: 1, TimeoutMs: 5000}}
-		return describe(fl.load(2*time.Second))
+		return describe(fl.load(2 * time.Second))
 	}},
 	{auditor.AtMostOnce, mutator.Claims, size{domains: 2, entries: 2, services: 1, latency: 400 * time.Millisecond}, func(fl *fleet) []string {
 		fl.plan.Services = []generator.Call{{Name: "bookings", Path: "/bookings", Once: true, Weight: 1, TimeoutMs: 8000}}
--- a/internal/proof/prover/restart_test.go
+++ b/internal/proof/prover/restart_test.go
@@ -18,9 +18,9 @@
 		for range 5 {
 			// Nothing is sent before the engine is warm, then one prompt at
 			// once after the restart.
-			gomega.Eventually(func() int { return len(lost(fl.load(40*time.Millisecond))) }).Should(gomega.BeZero())
+			gomega.Eventually(func() int { return len(lost(fl.load(40 * time.Millisecond))) }).Should(gomega.BeZero())
 			fl.turnCold("d1-engine1")
-			gomega.Expect(describe(fl.load(40*time.Millisecond))).To(gomega.BeEmpty())
+			gomega.Expect(describe(fl.load(40 * time.Millisecond))).To(gomega.BeEmpty())
 		}
 		gomega.Expect(fl.overloads()).To(gomega.BeZero())
 	})
