--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,6 @@
 
 soak: ## a long random run with failures; SEED=n DURATION=d FLEET=tinjau or guild
 	SEED=$(SEED) DURATION=$(DURATION) FLEET=$(FLEET) go test -tags soak ./internal/proof/prover/ -count=1 -timeout 3h -v -ginkgo.focus "soak keeps every invariant"
+
+bench: build ## routing policies side by side; FLEET=tinjau or guild
+	FLEET=$(FLEET) scripts/bench.sh
--- a/internal/command/server/server.go
+++ b/internal/command/server/server.go
@@ -38,6 +38,7 @@
 	"github.com/mulberrylever/mulberrylever/internal/duty/gossiper"
 	"github.com/mulberrylever/mulberrylever/internal/duty/holder"
 	"github.com/mulberrylever/mulberrylever/internal/duty/owner"
+	"github.com/mulberrylever/mulberrylever/internal/duty/planner"
 	"github.com/mulberrylever/mulberrylever/internal/duty/watcher"
 	"github.com/mulberrylever/mulberrylever/internal/duty/writer"
 	"github.com/mulberrylever/mulberrylever/internal/setting/loader"
@@ -63,6 +64,7 @@
 	gossiper   *gossiper.Gossiper
 	owner      *owner.Owner
 	holder     *holder.Holder
+	planner    *planner.Planner
 	dispatcher *dispatcher.Dispatcher
 	admitter   *admitter.Admitter
 	peers      *messenger.Messenger
@@ -153,6 +155,10 @@
 		Self: ss.VM, Engine: engine, Service: invoker.New(source), Holder: se.holder, Routes: se.gossiper,
 		Keeper: se.keeper, Auditor: se.auditor, Log: se.Log,
 	}
+	se.planner = &planner.Planner{
+		Self: self, Keeper: se.keeper, Follower: se.follower, Writer: se.writer, Routes: se.gossiper,
+		Holder: se.holder, Engine: engine, Log: se.Log,
+	}
 	se.admitter = &admitter.Admitter{MaxBytes: ss.Limits.MaxInFlightBytes}
 	se.receiver = &receiver.Receiver{
 		Settings: ss, Keeper: se.keeper, Admitter: se.admitter, Dispatcher: se.dispatcher,
@@ -165,7 +171,7 @@
 // duties lists the loops of the process.
 func (se *Server) duties() []func(context.Context) error {
 	return []func(context.Context) error{
-		se.follower.Run, se.writer.Run, se.watcher.Run, se.gossiper.Run, se.owner.Run, se.holder.Run, se.runSnapshots,
+		se.follower.Run, se.writer.Run, se.watcher.Run, se.gossiper.Run, se.owner.Run, se.holder.Run, se.planner.Run, se.runSnapshots,
 	}
 }
 
--- a/internal/decision/router/table.go
+++ b/internal/decision/router/table.go
@@ -91,6 +91,16 @@
 	return ""
 }
 
+// Load returns an endpoint's load as heard last. The second result is false
+// when it was not heard of lately.
+func (ta *Table) Load(now time.Time, id ml.EndpointID) (ml.EndpointLoad, bool) {
+	ca := ta.byID[id]
+	if ca == nil || now.Sub(ca.Heard) >= staleAfter {
+		return ml.EndpointLoad{}, false
+	}
+	return ca.Load, true
+}
+
 // Pick returns the endpoint to offer re to, not one of avoid. The second
 // result is false when there is none.
 func (ta *Table) Pick(now time.Time, re Request, avoid []ml.EndpointID) (*Candidate, bool) {
--- /dev/null
+++ b/internal/decision/scaler/scaler_test.go
@@ -0,0 +1,41 @@
+package scaler_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/scaler"
+)
+
+// TestDecide runs the script: engines as "id model requests" a line, or "id
+// model off".
+func TestDecide(t *testing.T) {
+	sc := scaler.Scaler{}
+	li := scaler.Limits{WakePerCent: 70, SleepPerCent: 20, Hold: 10 * time.Second, MinAwake: 1}
+	datadriven.RunTest(t, "testdata/decide", func(t *testing.T, td *datadriven.TestData) string {
+		at := 0
+		td.ScanArgs(t, "at", &at)
+		engines := []scaler.Engine{}
+		for _, line := range strings.Split(td.Input, "\n") {
+			en := scaler.Engine{Endpoint: ml.Endpoint{MaxRequests: 10}}
+			state := ""
+			if _, err := fmt.Sscan(line, &en.Endpoint.ID, &en.Endpoint.Model, &state); err != nil {
+				t.Fatalf("%s: %v", td.Pos, err)
+			}
+			if _, err := fmt.Sscan(state, &en.Load.Requests); err == nil {
+				en.Awake = true
+			}
+			engines = append(engines, en)
+		}
+		out := []string{}
+		for _, or := range sc.Decide(time.Unix(int64(1000+at), 0), engines, li) {
+			out = append(out, or.Action+" "+string(or.Endpoint.ID))
+		}
+		return strings.Join(out, "\n")
+	})
+}
--- a/internal/standin/generator/client.go
+++ b/internal/standin/generator/client.go
@@ -57,7 +57,7 @@
 	text := ar.text()
 	limit := time.Duration(ar.Prompt.TimeoutMs) * time.Millisecond
 	rd := &reading{want: answerer.New(text), answer: ar.Prompt.Answer, started: time.Now()}
-	rd.Kind, rd.Tokens, rd.prompt = ar.Prompt.Name, ar.Tokens, true
+	rd.Kind, rd.Tokens = ar.Prompt.Name, ar.Tokens
 	body, _ := json.Marshal(struct {
 		Model     string `json:"model"`
 		Prompt    string `json:"prompt"`
--- a/internal/standin/generator/generator.go
+++ b/internal/standin/generator/generator.go
@@ -48,7 +48,6 @@
 	Endpoint  string       `json:"endpoint,omitempty"`
 	Key       string       `json:"key,omitempty"`
 	Reconnect int          `json:"reconnects,omitempty"`
-	prompt    bool
 }
 
 // Generator runs one load.
--- a/internal/standin/generator/table.go
+++ b/internal/standin/generator/table.go
@@ -65,7 +65,7 @@
 	}
 	const micros = 1000
 	_ = ro.total.RecordValue(int64(rs.TotalMs * micros))
-	if rs.prompt {
+	if rs.TTFTMs > 0 {
 		_ = ro.ttft.RecordValue(int64(rs.TTFTMs * micros))
 		_ = ro.between.RecordValue(int64(rs.BetweenMs * micros))
 	}
