perf: work the owners out once for each set of members

Cause, from make slopes: the renewal of the view, five times a second, hashed every member for every endpoint: 6.7 ms for 190 members and 650 endpoints, 3.3 in 100 of a core against 1 allowed for all of control. The winners are kept while the set of live members stays the same.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,6 @@
 
 bench: build ## routing policies side by side; FLEET=tinjau or guild
 	FLEET=$(FLEET) scripts/bench.sh
+
+slopes: build ## how state, messages and time of a node grow with the fleet
+	bin/standin slopes
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -137,6 +137,7 @@
 	add(pa, "engine", "run a stand-in engine", &engineCommand{})
 	add(pa, "service", "run a stand-in service", &serviceCommand{})
 	add(pa, "load", "send a load and check every answer; status 4 when any request was lost", &loadCommand{})
+	add(pa, "slopes", "measure how a node's state and work grow with the fleet", &slopesCommand{})
 	add(pa, "compare", "judge the targets of the routing policies", &compareCommand{})
 	add(pa, "call", "make one call that may not be repeated", &callCommand{})
 	add(pa, "platform", "run the stand-in platform: log, list of VMs, weight store", &platformCommand{})
--- a/internal/decision/lessor/lessor.go
+++ b/internal/decision/lessor/lessor.go
@@ -28,6 +28,7 @@
 	heard   time.Time // last heartbeat from it
 	acked   time.Time // when the newest heartbeat that it acknowledged was sent
 	leaving bool      // it grants no more work
+	hash    uint64    // of its id
 }
 
 // Lessor holds one VM's view of its domain. It is not safe for concurrent
@@ -41,6 +42,9 @@
 	since   time.Time // since when this VM observes without a gap
 	leaving bool
 	owned   map[ml.EndpointID]time.Time // since when this VM wins the endpoint
+
+	winners map[ml.EndpointID]ml.VMID // as worked out for one set of members
+	among   uint64                    // that set
 }
 
 // Heard records a heartbeat from another member.
@@ -84,6 +88,42 @@
 
 // Owner returns the member that owns ep in this VM's view.
 func (le *Lessor) Owner(now time.Time, ep ml.EndpointID) ml.VMID {
+	le.refresh(now)
+	return le.knownWinner(now, ep)
+}
+
+// refresh forgets the winners when the set of contenders has changed.
+func (le *Lessor) refresh(now time.Time) {
+	if among := le.contenders(now); among != le.among || le.winners == nil {
+		le.among, le.winners = among, make(map[ml.EndpointID]ml.VMID)
+	}
+}
+
+func (le *Lessor) knownWinner(now time.Time, ep ml.EndpointID) ml.VMID {
+	winner, known := le.winners[ep]
+	if !known {
+		winner = le.winner(now, ep)
+		le.winners[ep] = winner
+	}
+	return winner
+}
+
+// contenders returns a hash of the set of members that may own endpoints.
+func (le *Lessor) contenders(now time.Time) uint64 {
+	sum := uint64(0)
+	for _, me := range le.members {
+		if le.alive(now, me) && !me.leaving {
+			sum += me.hash
+		}
+	}
+	if le.leaving {
+		sum = ^sum
+	}
+	return sum
+}
+
+// winner works the rendezvous hash out over all contenders.
+func (le *Lessor) winner(now time.Time, ep ml.EndpointID) ml.VMID {
 	best, top := ml.VMID(""), uint64(0)
 	if !le.leaving {
 		best, top = le.Self, score(le.Self, ep)
@@ -105,9 +145,11 @@
 	if le.owned == nil {
 		le.owned = make(map[ml.EndpointID]time.Time)
 	}
+	le.refresh(now)
+	right := le.hasRight(now)
 	for _, ep := range eps {
 		_, had := le.owned[ep]
-		wins := le.Owner(now, ep) == le.Self && le.hasRight(now)
+		wins := right && le.knownWinner(now, ep) == le.Self
 		if wins && !had {
 			le.owned[ep] = now
 		}
@@ -165,7 +207,7 @@
 	}
 	me := le.members[id]
 	if me == nil {
-		me = &member{}
+		me = &member{hash: xxhash.Sum64String(string(id))}
 		le.members[id] = me
 	}
 	return me
