test: dissolve a group when a member dies

The stand-in leader now breaks off when a member no longer holds its part; a huge prompt then starts again in a new group, and nothing is left held. One wait between steps stands in one place instead of four. make overhead measures what a node adds.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,6 @@
 
 slopes: build ## how state, messages and time of a node grow with the fleet
 	bin/standin slopes
+
+overhead: build ## what a node adds to a request, against the engine directly
+	FLEET=$(FLEET) scripts/overhead.sh
--- a/internal/command/operator/operator.go
+++ b/internal/command/operator/operator.go
@@ -18,6 +18,7 @@
 	"github.com/mulberrylever/mulberrylever/internal/adapter/appender"
 	"github.com/mulberrylever/mulberrylever/internal/adapter/lister"
 	"github.com/mulberrylever/mulberrylever/internal/adapter/requester"
+	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 	"github.com/mulberrylever/mulberrylever/internal/state/folder"
 )
 
@@ -123,7 +124,7 @@
 		if ctx.Err() != nil {
 			return folder.Outcome{}, fmt.Errorf("the log did not show the change in time, ask `config history` for %q before trying again: %w", rec.ID, appendErr)
 		}
-		sleep(ctx, pollInterval)
+		pacer.Sleep(ctx, pollInterval)
 	}
 }
 
@@ -188,7 +189,7 @@
 		if ctx.Err() != nil {
 			return &NotInForce{Version: ve, VMs: missing}
 		}
-		sleep(ctx, pollInterval)
+		pacer.Sleep(ctx, pollInterval)
 	}
 }
 
@@ -198,10 +199,3 @@
 	}
 	return 1
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/command/server/server.go
+++ b/internal/command/server/server.go
@@ -38,6 +38,7 @@
 	"github.com/mulberrylever/mulberrylever/internal/duty/gossiper"
 	"github.com/mulberrylever/mulberrylever/internal/duty/holder"
 	"github.com/mulberrylever/mulberrylever/internal/duty/owner"
+	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 	"github.com/mulberrylever/mulberrylever/internal/duty/planner"
 	"github.com/mulberrylever/mulberrylever/internal/duty/watcher"
 	"github.com/mulberrylever/mulberrylever/internal/duty/writer"
@@ -255,7 +256,7 @@
 	}
 	se.Log.Info("stopping", "inFlight", se.admitter.InFlight())
 	se.leaving.Store(true)
-	sleep(ctx, time.Duration(se.Settings.Limits.DrainMs)*time.Millisecond)
+	pacer.Sleep(ctx, time.Duration(se.Settings.Limits.DrainMs)*time.Millisecond)
 	se.admitter.Close()
 	if mutator.Off(mutator.Drain) {
 		var ended context.CancelFunc
@@ -377,13 +378,6 @@
 	}, nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // burn returns what this VM has counted against the objectives.
 func (se *Server) burn(now time.Time) any {
 	sn, err := se.observer.burner.Snapshot(now)
--- a/internal/duty/follower/follower.go
+++ b/internal/duty/follower/follower.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 	"github.com/mulberrylever/mulberrylever/internal/state/folder"
 	"github.com/mulberrylever/mulberrylever/internal/state/keeper"
 )
@@ -64,7 +65,7 @@
 		if err := fo.readPage(ctx); err != nil && ctx.Err() == nil {
 			readErrors.Inc()
 			fo.Log.Warn("read log", "error", err)
-			sleep(ctx, rand.N(retryDelay))
+			pacer.Sleep(ctx, rand.N(retryDelay))
 		}
 	}
 	return ctx.Err()
@@ -169,10 +170,3 @@
 	}
 	return rs, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/duty/writer/writer.go
+++ b/internal/duty/writer/writer.go
@@ -12,6 +12,7 @@
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/adapter/requester"
+	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 )
 
 const (
@@ -75,7 +76,7 @@
 			return ctx.Err()
 		case en := <-wr.ring:
 			wr.appendAll(ctx, wr.collect(en))
-			sleep(ctx, minInterval)
+			pacer.Sleep(ctx, minInterval)
 		}
 	}
 }
@@ -112,7 +113,7 @@
 		}
 		appendErrors.Inc()
 		wr.Log.Warn("append", "records", len(recs), "status", requester.Status(err), "error", err)
-		sleep(ctx, rand.N(retryDelay))
+		pacer.Sleep(ctx, rand.N(retryDelay))
 	}
 }
 
@@ -123,10 +124,3 @@
 	appends.Inc()
 	return err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- /dev/null
+++ b/internal/proof/prover/group_test.go
@@ -0,0 +1,49 @@
+package prover_test
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/mulberrylever/mulberrylever/internal/standin/generator"
+)
+
+var _ = ginkgo.Describe("a group of engines", func() {
+	ginkgo.It("is dissolved when a member dies, and the request starts again", func() {
+		fl := startFleet(size{domains: 1, entries: 2, engines: 5}, "")
+		defer fl.stop()
+		fl.plan.Rate = 3
+		fl.plan.Prompts = []generator.Prompt{
+			{Name: "huge", Weight: 1, MinTokens: 700_000, MaxTokens: 700_000, Answer: 300, TimeoutMs: 40_000},
+			{Name: "short", Weight: 3, MinTokens: 500, MaxTokens: 2000, Answer: 24, TimeoutMs: 10_000},
+		}
+		member := ""
+		results := fl.during(2*time.Second, 3*time.Second, func() { member = fl.groupMember(); fl.kill(member) })
+		gomega.Expect(fl.anyFailed(results)).To(gomega.BeEmpty())
+		huge := 0
+		for _, rs := range results {
+			if rs.Kind == "huge" {
+				huge++
+			}
+		}
+		gomega.Expect(huge).NotTo(gomega.BeZero())
+		gomega.Expect(fl.heldAfter(14 * time.Second)).To(gomega.BeEmpty())
+	})
+})
+
+// groupMember waits for a member of a group and returns its engine.
+func (fl *fleet) groupMember() string {
+	found := ""
+	gomega.Eventually(func() string {
+		for _, ep := range fl.file.VMs.Endpoints {
+			for _, ho := range fl.heldBy(ep) {
+				if ho.Kind == "group" {
+					found = string(ep.ID)
+				}
+			}
+		}
+		return found
+	}, "20s", "50ms").ShouldNot(gomega.BeEmpty())
+	return found
+}
--- a/internal/standin/batcher/server.go
+++ b/internal/standin/batcher/server.go
@@ -61,6 +61,9 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	if len(cr.Group) > 0 {
+		go ba.runWatchGroup(se, cr.Group)
+	}
 	ba.stream(w, r, se, cr.Position)
 }
 
