--- a/internal/duty/dispatcher/call.go
+++ b/internal/duty/dispatcher/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
@@ -50,6 +51,12 @@
 func (di *Dispatcher) callOnce(
 	ctx context.Context, rq *Request, service ml.ServiceName, sc ml.ServiceCall, avoid []ml.EndpointID, mayRun func(time.Time) error,
 ) (ml.ServiceAnswer, ml.EndpointID, error) {
+	serves := false
+	di.Routes.Route(func(ta *router.Table) { serves = ta.Serves("", service) })
+	if !serves {
+		what := fmt.Sprintf("no endpoint serves %q", service)
+		return ml.ServiceAnswer{}, "", di.unserved(func(ep ml.Endpoint) bool { return ep.Service == service }, what)
+	}
 	he, err := di.placeOne(ctx, rq, router.Request{Service: service, Prompt: serviceWeight}, avoid)
 	if err != nil {
 		return ml.ServiceAnswer{}, "", err
--- a/internal/duty/dispatcher/place.go
+++ b/internal/duty/dispatcher/place.go
@@ -33,10 +33,7 @@
 		largest, serves = ta.Largest(rq.Model), ta.Serves(rq.Model, "")
 	})
 	if !serves {
-		return nil, nil, &ml.Error{
-			Type: ml.ErrUnavailable, Step: "route", NotRun: true,
-			Err: fmt.Errorf("no engine for model %q is in service", rq.Model),
-		}
+		return nil, nil, di.unserved(func(ep ml.Endpoint) bool { return ep.Model == rq.Model }, fmt.Sprintf("no engine serves model %q", rq.Model))
 	}
 	if memory > largest {
 		return di.placeGroup(ctx, rq, memory)
@@ -47,6 +44,16 @@
 	return he, nil, err
 }
 
+// unserved returns the error for something that no endpoint in service serves:
+// not found when none that is listed does.
+func (di *Dispatcher) unserved(serves func(ml.Endpoint) bool, what string) error {
+	er := &ml.Error{Type: ml.ErrNotFound, Step: "route", NotRun: true, Err: errors.New(what)}
+	if slices.ContainsFunc(di.Keeper.VMs().Endpoints, serves) {
+		er.Type, er.Err = ml.ErrUnavailable, errors.New(what+" at present")
+	}
+	return er
+}
+
 // placeOne asks the owners of a few endpoints, one after the other, until one
 // grants.
 func (di *Dispatcher) placeOne(ctx context.Context, rq *Request, rr router.Request, avoid []ml.EndpointID) (*holder.Held, error) {
--- a/internal/proof/prover/fleet_test.go
+++ b/internal/proof/prover/fleet_test.go
@@ -47,6 +47,7 @@
 	domains, entries, engines, services int  // the last three per domain
 	extraEntries, extraEngines          int  // in the first domains, one each
 	linked                              bool // connections of entry VMs pass a relay
+	encrypted                           bool // callers and entry VMs use TLS
 	latency                             time.Duration
 	loseAnswers                         float64
 }
@@ -180,7 +181,12 @@
 		}
 	}
 	fl.fleetPath = fl.write("fleet", fl.file)
+	files := loader.TLS{}
+	if si.encrypted {
+		files = makeTLS(fl.dir)
+	}
 	for i := range settings {
+		settings[i].PeerTLS, settings[i].CallerTLS = files, files
 		for j := range settings {
 			if j != i {
 				settings[i].Neighbours = append(settings[i].Neighbours, settings[j].PeerAdvertise)
--- /dev/null
+++ b/internal/proof/prover/interface_test.go
@@ -0,0 +1,131 @@
+package prover_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/mulberrylever/mulberrylever/internal/setting/loader"
+)
+
+// makeTLS writes a certificate authority and one certificate for 127.0.0.1.
+func makeTLS(dir string) loader.TLS {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.ParseIP("127.0.0.1")},
+		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	cert, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	der, err := x509.MarshalECPrivateKey(key)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	write := func(name, kind string, data []byte) string {
+		path := filepath.Join(dir, name)
+		gomega.Expect(os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600)).To(gomega.Succeed())
+		return path
+	}
+	certFile := write("cert.pem", "CERTIFICATE", cert)
+	return loader.TLS{CertFile: certFile, KeyFile: write("key.pem", "EC PRIVATE KEY", der), CAFile: certFile}
+}
+
+// caller sends single requests to the first entry VM.
+type caller struct {
+	url    string
+	client *http.Client
+}
+
+// ask sends a request and returns the status, the body and Retry-After.
+func (ca caller) ask(method, path, body string, headers ...string) (int, string, string) {
+	rq, err := http.NewRequest(method, ca.url+path, strings.NewReader(body))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	rq.Header.Set("Authorization", "Bearer key-of-a")
+	for i := 0; i < len(headers); i += 2 {
+		rq.Header.Set(headers[i], headers[i+1])
+	}
+	rs, err := ca.client.Do(rq)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer rs.Body.Close()
+	text, err := io.ReadAll(rs.Body)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return rs.StatusCode, string(text), rs.Header.Get("Retry-After")
+}
+
+var _ = ginkgo.Describe("the callers' interface", func() {
+	ginkgo.It("answers, and refuses with the field, the value and the truth about running, over TLS", func() {
+		fl := startFleet(size{domains: 1, entries: 2, engines: 1, services: 1, encrypted: true}, "")
+		defer fl.stop()
+		ca := caller{
+			url:    "https://" + fl.plan.Targets[0].Address,
+			client: &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}},
+		}
+		old := uuid.UUID{0, 0, 0, 0, 0, 1, 0x70, 0, 0x80}
+		for _, check := range []struct {
+			method, path, body string
+			headers            []string
+			status             int
+			want               string
+		}{
+			{"POST", "/v1/completions", `{"model":"m","prompt":"hello","max_tokens":3}`, nil, 200, `"completion_tokens":3`},
+			{"POST", "/v1/chat/completions", `{"model":"m","messages":[{"role":"user","content":"hi"}],"max_tokens":3}`, nil, 200, `"role":"assistant"`},
+			{"POST", "/v1/completions", `{"model":"m","prompt":"hello","max_tokens":2,"stream":true}`, nil, 200, "data: [DONE]"},
+			{"GET", "/v1/models", "", nil, 200, `"id":"m"`},
+			{"POST", "/v1/completions", `{"model":"m"`, nil, 400, `"notRun":true`},
+			{"POST", "/v1/completions", `{"model":"m","prompt":"x","max_tokens":-4}`, nil, 400, `max_tokens: must be more than 0 (got \"-4\")`},
+			{"POST", "/v1/completions", `{"model":"m","prompt":"x","n":2}`, nil, 400, `n: only one answer`},
+			{"POST", "/v1/completions", `{"model":"m","prompt":"x"}`, []string{"Mulberrylever-Timeout-Ms", "soon"}, 400, `(got \"soon\")`},
+			{"POST", "/v1/completions", `{"model":"m","prompt":"x"}`, []string{"Last-Event-ID", "7"}, 400, "ENDPOINT/GRANT/POSITION"},
+			{"POST", "/v1/completions", `{"model":"m","prompt":"x"}`, []string{"Authorization", "Bearer nobody"}, 401, "unauthorized"},
+			{"POST", "/v1/completions", `{"model":"other","prompt":"x"}`, nil, 404, `no engine serves model \"other\"`},
+			{"GET", "/v2/nothing", "", nil, 404, "no such path"},
+			{"GET", "/services/other/x", "", nil, 404, `no endpoint serves \"other\"`},
+			{"POST", "/v1/completions", `{"model":"m","prompt":"` + strings.Repeat("x", 17<<20) + `"}`, nil, 413, "tooLarge"},
+			{"POST", "/services/bookings/bookings", "{}", nil, 400, "Idempotency-Key: is required"},
+			{"POST", "/services/bookings/bookings", "{}", []string{"Idempotency-Key", "k"}, 201, `"booking":"k"`},
+			{"POST", "/services/bookings/bookings", "{}", []string{"Idempotency-Key", "k"}, 201, `"booking":"k"`},
+			{"POST", "/services/bookings/bookings", "{1}", []string{"Idempotency-Key", "k"}, 422, "keyReused"},
+			{"POST", "/services/bookings/bookings", "{}", []string{"Idempotency-Key", old.String()}, 410, `"notRun":false`},
+			{"GET", "/services/bookings/bookings/9", "", nil, 200, `"id":"9"`},
+		} {
+			status, body, _ := ca.ask(check.method, check.path, check.body, check.headers...)
+			gomega.Expect(status).To(gomega.Equal(check.status), "%s %s %.80s: %s", check.method, check.path, check.body, body)
+			gomega.Expect(body).To(gomega.ContainSubstring(check.want))
+		}
+		runs := make(map[string]int)
+		gomega.Expect(fl.get(fl.file.VMs.Endpoints[1].Address, "/runs", &runs)).To(gomega.Succeed())
+		gomega.Expect(fmt.Sprint(runs)).To(gomega.Equal("map[k:1]"))
+	})
+
+	ginkgo.It("says when to come back while the log is down, and that nothing ran", func() {
+		fl := startFleet(size{domains: 1, entries: 1, services: 1}, "")
+		defer fl.stop()
+		ca := caller{url: "http://" + fl.plan.Targets[0].Address, client: fl.client}
+		fl.kill("platform")
+		status, body, after := ca.ask("POST", "/services/bookings/bookings", "{}", "Idempotency-Key", "k2")
+		gomega.Expect(status).To(gomega.Equal(503), body)
+		gomega.Expect(body).To(gomega.ContainSubstring(`"type":"logUnavailable"`))
+		gomega.Expect(body).To(gomega.ContainSubstring(`"notRun":true`))
+		gomega.Expect(after).To(gomega.Equal("2"))
+		status, body, _ = ca.ask("GET", "/services/bookings/bookings/9", "")
+		gomega.Expect(status).To(gomega.Equal(200), body)
+	})
+})
