--- a/internal/command/commander/operate.go
+++ b/internal/command/commander/operate.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/user"
 	"strconv"
 	"time"
 
@@ -80,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	ch.By, ch.Base = co.By, fl.Version
+	ch.By, ch.Base = co.who(), fl.Version
 	if co.Base != "" {
 		base, err := strconv.ParseInt(co.Base, 10, 64)
 		if err != nil {
@@ -108,6 +109,18 @@
 	return err
 }
 
+// who returns the name that the change is made under: the user's own when none
+// is given.
+func (co changeOptions) who() string {
+	if co.By != "" {
+		return co.By
+	}
+	if us, err := user.Current(); err == nil {
+		return us.Username
+	}
+	return "unknown"
+}
+
 // print prints a value as JSON or calls plain.
 func (oo operatorOptions) print(value any, plain func()) {
 	if !oo.JSON {
