fix: cut off a caller that does not send its whole body

A caller that announced 100 bytes and sent one held its place for ever: only the header had a limit of time. The body now has limits.writeTimeoutMs as well. Seen red first. Ruled out: a stale write deadline on a kept connection; net/http clears it between requests, and the test keeps watching it.

--- a/internal/adapter/receiver/receiver.go
+++ b/internal/adapter/receiver/receiver.go
@@ -85,6 +85,8 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		vi := &visit{w: w, r: r, id: ml.RequestID(uuid.NewString()), arrived: time.Now()}
 		w.Header().Set(headerRequestID, string(vi.id))
+		limit := configurer.Millis(re.Settings.Limits.WriteTimeoutMs)
+		defer func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(limit)) }()
 		vi.entry = Entry{Request: vi.id, Method: r.Method, Path: r.URL.Path}
 		err := re.authorize(vi)
 		if err == nil {
@@ -166,7 +168,12 @@
 		er.RetryAfter = configurer.Millis(re.Keeper.View().Config.Retries.RetryAfterMs)
 		return nil, nil, &er
 	}
+	rc := http.NewResponseController(vi.w)
+	_ = rc.SetReadDeadline(time.Now().Add(configurer.Millis(re.Settings.Limits.WriteTimeoutMs)))
 	body, err := io.ReadAll(http.MaxBytesReader(vi.w, vi.r.Body, limit))
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+	}
 	if err != nil {
 		ti.Leave()
 		if mb := (*http.MaxBytesError)(nil); errors.As(err, &mb) {
--- a/internal/proof/prover/fleet_test.go
+++ b/internal/proof/prover/fleet_test.go
@@ -48,6 +48,7 @@
 	extraEntries, extraEngines          int  // in the first domains, one each
 	linked                              bool // connections of entry VMs pass a relay
 	encrypted                           bool // callers and entry VMs use TLS
+	writeTimeout                        time.Duration
 	latency                             time.Duration
 	loseAnswers                         float64
 }
@@ -159,6 +160,9 @@
 			}
 			se.AccessKeys = []loader.AccessKey{{Key: "key-of-a", Team: "a"}, {Key: "key-of-b", Team: "b"}}
 			se.Limits.DrainMs = 600
+			if si.writeTimeout > 0 {
+				se.Limits.WriteTimeoutMs = si.writeTimeout.Milliseconds()
+			}
 			settings = append(settings, se)
 			fl.file.VMs.Entries = append(fl.file.VMs.Entries, ml.EntryVM{
 				ID: se.VM, Domain: domain, PeerAddress: se.PeerAdvertise, AdminAddress: se.AdminAddress,
--- a/internal/proof/prover/interface_test.go
+++ b/internal/proof/prover/interface_test.go
@@ -115,6 +115,27 @@
 		gomega.Expect(fmt.Sprint(runs)).To(gomega.Equal("map[k:1]"))
 	})
 
+	ginkgo.It("cuts a slow caller off, and no later request on a kept connection", func() {
+		fl := startFleet(size{domains: 1, entries: 1, engines: 1, writeTimeout: 300 * time.Millisecond}, "")
+		defer fl.stop()
+		ca := caller{url: "http://" + fl.plan.Targets[0].Address, client: fl.client}
+		status, body, _ := ca.ask("POST", "/v1/completions", `{"model":"m","prompt":"hello","max_tokens":2,"stream":true}`)
+		gomega.Expect(status).To(gomega.Equal(200), body)
+		time.Sleep(500 * time.Millisecond)
+		status, body, _ = ca.ask("GET", "/v1/models", "")
+		gomega.Expect(status).To(gomega.Equal(200), body)
+
+		conn, err := net.Dial("tcp", fl.plan.Targets[0].Address)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer conn.Close()
+		_, err = fmt.Fprint(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-of-a\r\nContent-Length: 100\r\n\r\n{")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(gomega.Succeed())
+		answer, err := io.ReadAll(conn)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred(), "the connection is still open")
+		gomega.Expect(string(answer)).To(gomega.ContainSubstring("400 Bad Request"))
+	})
+
 	ginkgo.It("says when to come back while the log is down, and that nothing ran", func() {
 		fl := startFleet(size{domains: 1, entries: 1, services: 1}, "")
 		defer fl.stop()
