--- a/internal/adapter/streamer/streamer.go
+++ b/internal/adapter/streamer/streamer.go
@@ -81,6 +81,31 @@
 	}{id, "group", tokens}, nil)
 }
 
+// ExportKV implements ml.Engine.
+func (st *Streamer) ExportKV(ctx context.Context, ep ml.Endpoint, id ml.GrantID) (ml.Hold, error) {
+	ho := ml.Hold{}
+	err := st.calls.Do(ctx, http.MethodPost, ep.Address, "/v1/kv/export", struct {
+		ID ml.GrantID `json:"id"`
+	}{id}, &ho)
+	return ho, err
+}
+
+// ImportKV implements ml.Engine.
+func (st *Streamer) ImportKV(ctx context.Context, ep ml.Endpoint, ho ml.Hold) error {
+	return st.calls.Do(ctx, http.MethodPost, ep.Address, "/v1/holds", struct {
+		ID     ml.GrantID `json:"id"`
+		Kind   string     `json:"kind"`
+		Tokens ml.Tokens  `json:"tokens"`
+	}{ho.ID, "kv", ho.Tokens}, nil)
+}
+
+// CacheEvents implements ml.Engine.
+func (st *Streamer) CacheEvents(ctx context.Context, ep ml.Endpoint, after int64) ([]ml.CacheEvent, error) {
+	evs := []ml.CacheEvent{}
+	err := st.calls.Do(ctx, http.MethodGet, ep.Address, fmt.Sprintf("/v1/cache/events?after=%d", after), nil, &evs)
+	return evs, err
+}
+
 // Report implements ml.Engine.
 func (st *Streamer) Report(ctx context.Context, ep ml.Endpoint) (ml.EngineReport, error) {
 	re := ml.EngineReport{}
--- a/internal/standin/batcher/cache.go
+++ b/internal/standin/batcher/cache.go
@@ -5,25 +5,19 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	ml "github.com/mulberrylever/mulberrylever"
 )
 
 // blockTokens is the unit in which prompt prefixes are cached.
 const blockTokens = 1024
 
-// CacheEvent tells that a prefix block entered or left the cache.
-type CacheEvent struct {
-	Sequence int64     `json:"sequence"`
-	Block    uint64    `json:"block"` // hash of the prompt up to the block's end
-	Stored   bool      `json:"stored"`
-	At       time.Time `json:"at"`
-}
-
 // cache is a prefix cache with least-recently-used eviction.
 type cache struct {
 	capacity int // blocks
 	order    list.List
 	blocks   map[uint64]*list.Element
-	events   []CacheEvent
+	events   []ml.CacheEvent
 	sequence int64
 }
 
@@ -74,7 +68,7 @@
 func (ca *cache) publish(now time.Time, block uint64, stored bool) {
 	const maxEvents = 4096
 	ca.sequence++
-	ca.events = append(ca.events, CacheEvent{Sequence: ca.sequence, Block: block, Stored: stored, At: now})
+	ca.events = append(ca.events, ml.CacheEvent{Sequence: ca.sequence, Block: block, Stored: stored, At: now})
 	if len(ca.events) > maxEvents {
 		ca.events = ca.events[len(ca.events)-maxEvents/2:]
 	}
@@ -82,8 +76,8 @@
 
 // eventsAfter returns the events after a sequence number that are older than
 // delay. Every lossEvery-th event is missing.
-func (ca *cache) eventsAfter(now time.Time, after int64, delay time.Duration, lossEvery int64) []CacheEvent {
-	out := []CacheEvent{}
+func (ca *cache) eventsAfter(now time.Time, after int64, delay time.Duration, lossEvery int64) []ml.CacheEvent {
+	out := []ml.CacheEvent{}
 	for _, ev := range ca.events {
 		lost := lossEvery > 0 && ev.Sequence%lossEvery == 0
 		if ev.Sequence > after && !lost && now.Sub(ev.At) >= delay {
--- a/ports.go
+++ b/ports.go
@@ -66,6 +66,14 @@
 	Age     time.Duration `json:"age"`     // since the hold began
 }
 
+// CacheEvent tells that a prefix block entered or left an engine's cache.
+type CacheEvent struct {
+	Sequence int64     `json:"sequence"`
+	Block    uint64    `json:"block"` // hash of the prompt up to the block's end
+	Stored   bool      `json:"stored"`
+	At       time.Time `json:"at"`
+}
+
 // EngineReport is what an engine holds, read directly and without lag.
 type EngineReport struct {
 	Incarnation Incarnation `json:"incarnation"`
@@ -99,6 +107,13 @@
 	Cancel(ctx context.Context, ep Endpoint, id GrantID) error
 	// Reserve holds memory for a member of a group.
 	Reserve(ctx context.Context, ep Endpoint, id GrantID, tokens Tokens) error
+	// ExportKV keeps the KV cache of a stream as a hold of its own.
+	ExportKV(ctx context.Context, ep Endpoint, id GrantID) (Hold, error)
+	// ImportKV takes a hold that another engine has exported.
+	ImportKV(ctx context.Context, ep Endpoint, ho Hold) error
+	// CacheEvents returns the changes of the prefix cache after a sequence
+	// number. They come late and with gaps.
+	CacheEvents(ctx context.Context, ep Endpoint, after int64) ([]CacheEvent, error)
 	// Report returns what the engine holds now.
 	Report(ctx context.Context, ep Endpoint) (EngineReport, error)
 	// Load returns the engine's load report.
--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -20,6 +20,6 @@
 for turn in 1 2; do
   for way in direct node; do
     echo "== $way, turn $turn"
-    bin/standin load --fleet "$FLEET_DIR/fleet.jsonc" --load "$OUT/$way.jsonc" --length 20s --seed "$turn" --out "$OUT/$way-$turn.jsonl"
+    bin/standin load --fleet "$FLEET_DIR/fleet.jsonc" --load "$OUT/$way.jsonc" --length "${LENGTH:-20s}" --seed "$turn" --out "$OUT/$way-$turn.jsonl"
   done
 done
