--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -14,7 +14,7 @@
 ready=$(sed -n 's/.*"ready": "\([^"]*\)".*/\1/p' "$FLEET_DIR/load.jsonc" | head -1)
 engine=$(grep '"kind": "engine"' "$FLEET_DIR/fleet.jsonc" | sed -n 's/.*"address": "\([^"]*\)".*/\1/p' | head -1)
 rest=$(sed -n '/"model"/p;/"teams"/,/\],/p' "$FLEET_DIR/load.jsonc")
-prompts='"prompts": [{"name": "tiny", "weight": 1, "minTokens": 100, "maxTokens": 100, "answer": 8, "timeoutMs": 5000}], "services": [], "rate": 30'
+prompts='"prompts": [{"name": "tiny", "weight": 1, "minTokens": 100, "maxTokens": 100, "answer": 1, "timeoutMs": 5000}], "services": [], "rate": 20'
 echo "{\"targets\": [{\"address\": \"$engine\", \"ready\": \"$engine\"}], $rest $prompts}" >"$OUT/direct.jsonc"
 echo "{\"targets\": [{\"address\": \"$entry\", \"ready\": \"$ready\"}], $rest $prompts}" >"$OUT/node.jsonc"
 for turn in 1 2; do
