fix: make the attack on configNeverReverts the same every run

Cause: the spec froze an entry VM, made a change and expected the VM to wake up with old state. The platform's answer to the read under way is written to the frozen process's socket, so it usually woke up with the new state and the attack found nothing. Ruled out: a fault of the program; both found nothing, outside and inside. Conclusion: the check is as strict as before, the attack no longer depends on which of two messages is read first.

--- a/internal/proof/prover/invariants_test.go
+++ b/internal/proof/prover/invariants_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/mulberrylever/mulberrylever/internal/standin/generator"
 	"github.com/mulberrylever/mulberrylever/internal/standin/recorder"
+	"github.com/mulberrylever/mulberrylever/internal/standin/relayer"
 	"github.com/mulberrylever/mulberrylever/internal/state/auditor"
 	"github.com/mulberrylever/mulberrylever/internal/state/mutator"
 )
@@ -112,7 +113,10 @@
 		}
 		return out
 	}},
-	{auditor.ConfigNeverReverts, mutator.Versions, size{domains: 1, entries: 2}, func(fl *fleet) []string {
+	{auditor.ConfigNeverReverts, mutator.Versions, size{domains: 1, entries: 2, linked: true}, func(fl *fleet) []string {
+		// The answer to a read that is under way must not wait in the frozen
+		// process's socket: it would wake up with the new state.
+		fl.cut("platform", "d1-entry1")
 		fl.signal("d1-entry1", syscall.SIGSTOP)
 		out, code := fl.operate("vm", "out", "d1-entry2", "--reason", "test", "--by", "test", "--wait", "2s")
 		gomega.Expect(code).To(gomega.Equal(3), out)
@@ -195,6 +199,9 @@
 	return out
 }
 
+// cut cuts the way from one process to another.
+func (fl *fleet) cut(from, to string) { fl.relays.Cut(relayer.Link{From: from, To: to}) }
+
 // turnCold restarts an engine without warning.
 func (fl *fleet) turnCold(name string) {
 	for _, ep := range fl.file.VMs.Endpoints {
