feat: ask another owner where more is ahead than was known; gather prefixes

Cause of the short prompts' misses: loads are up to 200 ms old, a short prompt is processed within 75 ms, so what was predicted from them was gone or wrong; all entry VMs then chose the same few engines. They also had only the engines that no long prompt may use, and the sets were as busy as the whole fleet. Change: prompts ahead are counted by length and run off with time; a holder tells of the first token; an owner refuses where more is ahead than the asker knew of and says how much, the least busy one is asked again; rates are measured; short prompts may go anywhere and others leave their set where that saves a quarter of their own time; prefixes gather by hashing, and answers tell whether that pays.

--- a/errors.go
+++ b/errors.go
@@ -26,6 +26,7 @@
 	ErrLogUnavailable   ErrorType = "logUnavailable"   // the platform's log can't be reached
 	ErrVersionConflict  ErrorType = "versionConflict"  // another change came first
 	ErrEndpointNotFound ErrorType = "endpointNotFound" // this VM does not own the endpoint
+	ErrBusy             ErrorType = "busy"             // another endpoint may serve it sooner; callers never get it
 )
 
 // Error is a failure with the step and the peer at which it arose.
--- a/internal/decision/granter/granter.go
+++ b/internal/decision/granter/granter.go
@@ -20,6 +20,9 @@
 	// assumedRate is the prefill rate, in tokens a second, of an engine
 	// that has not reported its own.
 	assumedRate = 50_000
+	// minSample is the least number of prompt tokens whose processing time
+	// is taken for a measurement of the rate.
+	minSample = 1000
 	// assumedService is the time a request takes before one was measured.
 	assumedService = 500 * time.Millisecond
 )
@@ -37,6 +40,7 @@
 	Member   bool      // memory only, as a member of a group
 	Deadline time.Time // when the answer must be complete
 	Needs    time.Duration
+	MostWait time.Duration // longest predicted wait worth taking here; zero for any
 	arrived  time.Time
 	start    float64 // virtual time of its team
 }
@@ -45,6 +49,7 @@
 type Refused struct {
 	Endpoint   ml.EndpointID
 	Reason     string
+	Busy       bool // only busier than the ask takes; RetryAfter is the predicted wait
 	RetryAfter time.Duration
 }
 
@@ -56,6 +61,8 @@
 	ask       Ask
 	granted   time.Time
 	confirmed bool      // accepted by the endpoint
+	accepted  time.Time // when its holder told so
+	before    ml.Tokens // prompt tokens ahead of it then, with its own
 	prefill   ml.Tokens // prompt tokens still to be processed
 	kept      time.Time // when the holder last answered for it
 	missing   int       // reports in a row that did not list it
@@ -73,15 +80,17 @@
 
 	holds   map[ml.GrantID]*hold
 	queue   queue
-	rate    float64       // prefill tokens a second
+	rate    float64       // prefill tokens a second, as measured
 	service time.Duration // average time from grant to release
+
+	reportedRate float64 // prefill tokens a second without a batch, as the engine reports
 }
 
 // New returns the granter of an endpoint.
 func New(ep ml.Endpoint, ti ml.Timing, longShare float64) *Granter {
 	return &Granter{
 		Endpoint: ep, Timing: ti, LongShare: longShare, Limiter: limiter.Limiter{Endpoint: ep},
-		holds: make(map[ml.GrantID]*hold), rate: assumedRate, service: assumedService,
+		holds: make(map[ml.GrantID]*hold), rate: assumedRate, reportedRate: assumedRate, service: assumedService,
 	}
 }
 
@@ -99,6 +108,9 @@
 	if now.Add(wait + as.Needs).After(as.Deadline) {
 		return gr.refuse(wait, "the answer would come after its deadline, the wait is %v", wait.Round(time.Millisecond))
 	}
+	if as.MostWait > 0 && wait > as.MostWait {
+		return &Refused{Endpoint: gr.Endpoint.ID, Reason: "the wait is longer than expected", Busy: true, RetryAfter: wait}
+	}
 	gr.queue.push(as)
 	return nil
 }
@@ -106,8 +118,8 @@
 // Wait estimates the time until as would be granted and the engine has worked
 // through the prompts before it.
 func (gr *Granter) Wait(now time.Time, as Ask) time.Duration {
-	ahead, tokens := gr.queue.ahead(as.Length)
-	prefill := time.Duration(float64(tokens+gr.prefillBefore(as.Length)) / gr.rate * float64(time.Second))
+	ahead, _ := gr.queue.ahead(as.Length)
+	prefill := time.Duration(float64(gr.ahead(as.Length)) / gr.rate * float64(time.Second))
 	free := gr.Limiter.Window(now) - len(gr.holds)
 	if ahead < free {
 		return prefill
@@ -143,10 +155,28 @@
 	gr.Limiter.Saw(in)
 	if ho := gr.holds[id]; ho != nil {
 		ho.confirmed = true
-		ho.kept = now
+		ho.kept, ho.accepted = now, now
+		ho.before = gr.prefillBefore(ho.ask.Length)
 	}
 }
 
+// Started records that the first token came: the prompt is processed. The time
+// that this took tells how fast the engine processes prompts in its batch.
+func (gr *Granter) Started(now time.Time, id ml.GrantID) {
+	ho := gr.holds[id]
+	if ho == nil || ho.prefill == 0 {
+		return
+	}
+	ho.prefill = 0
+	ho.kept = now
+	took := now.Sub(ho.accepted).Seconds()
+	if ho.accepted.IsZero() || ho.before < minSample || took <= 0 {
+		return
+	}
+	const old, fresh = 0.9, 0.1 // weights of the moving average
+	gr.rate = min(old*gr.rate+fresh*float64(ho.before)/took, gr.reportedRate)
+}
+
 // Keep records that the holder still answers for a grant. A grant of an
 // earlier owner is counted from now on.
 func (gr *Granter) Keep(now time.Time, id ml.GrantID) {
@@ -236,12 +266,12 @@
 
 // Load returns the endpoint's load at now.
 func (gr *Granter) Load(now time.Time) ml.EndpointLoad {
-	waiting, tokens := gr.queue.ahead(ml.Huge)
-	_, sooner := gr.queue.ahead(ml.Medium)
 	lo := ml.EndpointLoad{
-		Requests: len(gr.holds), Waiting: waiting, Window: gr.Limiter.Window(now), Prefill: tokens + gr.prefillBefore(ml.Huge),
+		Requests: len(gr.holds), Waiting: gr.queue.len(), Window: gr.Limiter.Window(now),
 		Rate: gr.rate, Service: gr.service.Milliseconds(), Cold: gr.Limiter.Cold(now), Long: gr.queue.long(),
-		Sooner: sooner + gr.prefillBefore(ml.Medium),
+	}
+	for le := range lo.Ahead {
+		lo.Ahead[le] = gr.ahead(ml.Length(le))
 	}
 	for _, ho := range gr.holds {
 		lo.Memory += ho.ask.Memory
@@ -266,8 +296,8 @@
 // Reported records the engine's load report.
 func (gr *Granter) Reported(now time.Time, lo ml.EngineLoad) {
 	gr.Limiter.Reported(now, lo)
-	if lo.PrefillRate > 0 {
-		gr.rate = lo.PrefillRate
+	if lo.PrefillRate > 0 && lo.PrefillRate != gr.reportedRate {
+		gr.rate, gr.reportedRate = lo.PrefillRate, lo.PrefillRate
 	}
 }
 
@@ -341,8 +371,15 @@
 	return ho
 }
 
-// prefillBefore returns the prompt tokens that an engine processes before a
-// new prompt of the given length.
+// ahead returns the prompt tokens, granted and waiting, that are processed
+// before a new prompt of the given length.
+func (gr *Granter) ahead(le ml.Length) ml.Tokens {
+	_, waiting := gr.queue.ahead(le)
+	return waiting + gr.prefillBefore(le)
+}
+
+// prefillBefore returns the granted prompt tokens that an engine processes
+// before a new prompt of the given length.
 func (gr *Granter) prefillBefore(le ml.Length) ml.Tokens {
 	sum := ml.Tokens(0)
 	for _, ho := range gr.holds {
--- a/internal/decision/granter/granter_test.go
+++ b/internal/decision/granter/granter_test.go
@@ -51,10 +51,14 @@
 		if err := sc.gr.Enqueue(sc.now, sc.ask(t, td)); err != nil {
 			return err.Error()
 		}
+	case "rate":
+		return fmt.Sprintf("%.0f", sc.gr.Load(sc.now).Rate)
 	case "grant":
 		return sc.grant()
 	case "confirm":
 		sc.gr.Confirm(sc.now, ml.GrantID(text(td, "id", "")), ml.Incarnation(text(td, "incarnation", "i")))
+	case "started":
+		sc.gr.Started(sc.now, ml.GrantID(text(td, "id", "")))
 	case "keep":
 		sc.gr.Keep(sc.now, ml.GrantID(text(td, "id", "")))
 	case "release":
@@ -69,7 +73,7 @@
 		return strings.Join(out, " ")
 	case "load":
 		lo := sc.gr.Load(sc.now)
-		return fmt.Sprintf("requests=%d waiting=%d window=%d prefill=%d memory=%d cold=%t", lo.Requests, lo.Waiting, lo.Window, lo.Prefill, lo.Memory, lo.Cold)
+		return fmt.Sprintf("requests=%d waiting=%d window=%d prefill=%d memory=%d cold=%t", lo.Requests, lo.Waiting, lo.Window, lo.Ahead[ml.Huge], lo.Memory, lo.Cold)
 	default:
 		t.Fatalf("%s: unknown command %q", td.Pos, td.Cmd)
 	}
@@ -83,6 +87,7 @@
 		Length: length(text(td, "length", "short")), Prompt: prompt, Memory: prompt, Member: td.HasArg("member"),
 		Deadline: sc.now.Add(time.Duration(number(t, td, "within", 60)) * time.Second),
 		Needs:    time.Duration(number(t, td, "needs", 0)) * time.Second,
+		MostWait: time.Duration(number(t, td, "mostWait", 0)) * time.Millisecond,
 	}
 }
 
--- a/internal/decision/router/router.go
+++ b/internal/decision/router/router.go
@@ -18,9 +18,12 @@
 	Load     ml.EndpointLoad
 	Heard    time.Time // when the load was received
 	InFlight int       // requests of this VM at the endpoint
-	Added    ml.Tokens // prompt tokens that this VM has offered since Heard
 	AddedReq int       // requests that this VM has offered since Heard
 
+	// Added holds the prompt tokens that this VM has offered since Heard and
+	// that go before a new prompt of each length.
+	Added [ml.Lengths]ml.Tokens
+
 	order uint64 // place among the endpoints of its group
 }
 
@@ -33,13 +36,43 @@
 	Memory  ml.Tokens
 	Prefix  uint64 // hash of the prompt's first block; zero for none
 	Home    ml.DomainID
+
+	cacheAt  ml.EndpointID // where prompts with this prefix gather
+	cached   ml.Tokens     // expected in the prefix cache there
+	longFrom uint64        // place of the first endpoint of the set for long prompts; zero for no set
+}
+
+// away tells whether ca is outside the set for the request's length. Short
+// prompts have none.
+func (re Request) away(ca *Candidate) bool {
+	if re.longFrom == 0 || re.Length == ml.Short {
+		return false
+	}
+	return (re.Length >= ml.Long) != (ca.order >= re.longFrom)
+}
+
+// work returns the prompt tokens that ca would have to process.
+func (re Request) work(ca *Candidate) ml.Tokens {
+	if ca.Endpoint.ID != re.cacheAt {
+		return re.Prompt
+	}
+	return max(re.Prompt-re.cached, 0)
 }
 
 // Policy picks one of a few candidates.
 type Policy interface {
-	Pick(rng *rand.Rand, re Request, cands []*Candidate) int
+	Pick(now time.Time, rng *rand.Rand, re Request, cands []*Candidate) int
+	// MostWait returns the longest wait at ca for which no other endpoint
+	// is asked first, or zero for any.
+	MostWait(now time.Time, re Request, ca *Candidate) time.Duration
 }
 
+// patient policies take any wait at the endpoint that they picked.
+type patient struct{}
+
+// MostWait implements Policy.
+func (patient) MostWait(time.Time, Request, *Candidate) time.Duration { return 0 }
+
 // PolicyNames lists the names that ByName takes.
 var PolicyNames = []string{"predicted", "leastInFlight", "roundRobin", "random"}
 
@@ -58,25 +91,30 @@
 }
 
 // Random picks any candidate.
-type Random struct{}
+type Random struct{ patient }
 
 // Pick implements Policy.
-func (Random) Pick(rng *rand.Rand, _ Request, cands []*Candidate) int { return rng.IntN(len(cands)) }
+func (Random) Pick(_ time.Time, rng *rand.Rand, _ Request, cands []*Candidate) int {
+	return rng.IntN(len(cands))
+}
 
 // RoundRobin picks the candidates in turn.
-type RoundRobin struct{ next int }
+type RoundRobin struct {
+	patient
+	next int
+}
 
 // Pick implements Policy.
-func (rr *RoundRobin) Pick(_ *rand.Rand, _ Request, cands []*Candidate) int {
+func (rr *RoundRobin) Pick(_ time.Time, _ *rand.Rand, _ Request, cands []*Candidate) int {
 	rr.next++
 	return rr.next % len(cands)
 }
 
 // LeastInFlight picks the candidate with the fewest requests of this VM.
-type LeastInFlight struct{}
+type LeastInFlight struct{ patient }
 
 // Pick implements Policy.
-func (LeastInFlight) Pick(rng *rand.Rand, _ Request, cands []*Candidate) int {
+func (LeastInFlight) Pick(_ time.Time, rng *rand.Rand, _ Request, cands []*Candidate) int {
 	return least(rng, cands, func(ca *Candidate) float64 { return float64(ca.InFlight) })
 }
 
@@ -85,8 +123,14 @@
 type Predicted struct{}
 
 // Pick implements Policy.
-func (Predicted) Pick(rng *rand.Rand, re Request, cands []*Candidate) int {
-	return least(rng, cands, func(ca *Candidate) float64 { return Predict(re, ca).Seconds() })
+func (Predicted) Pick(now time.Time, rng *rand.Rand, re Request, cands []*Candidate) int {
+	return least(rng, cands, func(ca *Candidate) float64 { return Predict(now, re, ca).Seconds() })
+}
+
+// MostWait implements Policy. An owner that knows of a longer wait than is
+// predicted here refuses, so that another endpoint is tried.
+func (Predicted) MostWait(now time.Time, re Request, ca *Candidate) time.Duration {
+	return Wait(now, re, ca) + waitSlack
 }
 
 const (
@@ -97,26 +141,28 @@
 	sharedCost = time.Millisecond
 	// coldCost is added while the endpoint is cold.
 	coldCost = 50 * time.Millisecond
+	// prefillCost is added while any prompt is being processed, since a new
+	// one waits for the end of the step that is under way.
+	prefillCost = 5 * time.Millisecond
+	// awayPart is the part of its own processing time by which a prompt must
+	// start sooner to leave the set for its length.
+	awayPart = 4
+	// waitSlack is the part of a wait that is not worth asking elsewhere.
+	waitSlack = 5 * time.Millisecond
 	// fallbackRate is the prefill rate assumed before one was reported.
 	fallbackRate = 50_000
 )
 
 // Predict estimates the time to the first token of re at ca.
-func Predict(re Request, ca *Candidate) time.Duration {
-	rate := ca.Load.Rate
-	if rate <= 0 {
-		rate = fallbackRate
+func Predict(now time.Time, re Request, ca *Candidate) time.Duration {
+	own := duration(float64(re.work(ca)) / rate(ca))
+	out := Wait(now, re, ca) + own
+	if re.away(ca) {
+		out += own / awayPart
 	}
-	tokens := ca.Load.Prefill + ca.Added + re.Prompt
-	if re.Length < ml.Long {
-		tokens = ca.Load.Sooner + ca.Added + re.Prompt
-	}
-	out := time.Duration(float64(tokens) / rate * float64(time.Second))
-	requests := ca.Load.Requests + ca.Load.Waiting + ca.AddedReq
-	out += time.Duration(requests) * sharedCost
-	if over := requests + 1 - ca.Load.Window; over > 0 {
-		turn := float64(ca.Load.Service) / float64(max(ca.Load.Window, 1))
-		out += time.Duration(float64(over) * turn * float64(time.Millisecond))
+	out += time.Duration(ca.Load.Requests+ca.Load.Waiting+ca.AddedReq) * sharedCost
+	if ahead(now, ml.Huge, ca) > 0 {
+		out += prefillCost
 	}
 	if free := ca.Endpoint.Memory - ca.Load.Memory; re.Memory > free && ca.Endpoint.Kind == ml.KindEngine {
 		out += time.Duration(ca.Load.Service) * time.Millisecond
@@ -130,6 +176,34 @@
 	return out
 }
 
+// Wait estimates how long re waits at ca for the prompts before it, and for
+// its turn when the endpoint carries all that it can.
+func Wait(now time.Time, re Request, ca *Candidate) time.Duration {
+	out := duration(float64(ahead(now, re.Length, ca)) / rate(ca))
+	requests := ca.Load.Requests + ca.Load.Waiting + ca.AddedReq
+	if over := requests + 1 - ca.Load.Window; over > 0 {
+		turn := float64(ca.Load.Service) / float64(max(ca.Load.Window, 1))
+		out += time.Duration(float64(over) * turn * float64(time.Millisecond))
+	}
+	return out
+}
+
+// ahead returns the prompt tokens that go before a new prompt of a length:
+// those heard of and offered since, less what was processed meanwhile.
+func ahead(now time.Time, le ml.Length, ca *Candidate) ml.Tokens {
+	processed := ml.Tokens(rate(ca) * now.Sub(ca.Heard).Seconds())
+	return max(ca.Load.Ahead[le]+ca.Added[le]-processed, 0)
+}
+
+func rate(ca *Candidate) float64 {
+	if ca.Load.Rate <= 0 {
+		return fallbackRate
+	}
+	return ca.Load.Rate
+}
+
+func duration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+
 func least(rng *rand.Rand, cands []*Candidate, cost func(*Candidate) float64) int {
 	best, low, ties := 0, math.Inf(1), 0
 	for i, ca := range cands {
--- a/internal/decision/router/router_test.go
+++ b/internal/decision/router/router_test.go
@@ -40,9 +40,11 @@
 		for _, line := range strings.Split(td.Input, "\n") {
 			var id, domain string
 			lo := ml.EndpointLoad{Window: 32, Rate: 100_000, Service: 500}
-			if _, err := fmt.Sscan(line, &id, &domain, &lo.Requests, &lo.Prefill, &lo.Sooner); err != nil {
+			var short, all ml.Tokens
+			if _, err := fmt.Sscan(line, &id, &domain, &lo.Requests, &all, &short); err != nil {
 				t.Fatalf("%s: %v", td.Pos, err)
 			}
+			lo.Ahead = [ml.Lengths]ml.Tokens{short, short, all, all}
 			ep := ml.Endpoint{ID: ml.EndpointID(id), Domain: ml.DomainID(domain), Kind: ml.KindEngine, Model: "m", Memory: 400_000}
 			ta.Update(now, ep, "owner", lo)
 		}
@@ -50,6 +52,14 @@
 		ta.Remove(ml.EndpointID(text(td, "id")))
 	case "pick":
 		return pick(t, td, ta, now)
+	case "answered":
+		for range 50 {
+			ta.Answered(7, ml.Tokens(number(t, td, "cached")))
+		}
+	case "mostWait":
+		re := router.Request{Model: "m", Prompt: 1000, Memory: 1000}
+		ca, _ := ta.Pick(now, re, nil)
+		return fmt.Sprint(ca.Endpoint.ID, " ", ta.MostWait(now, re, ca).Round(time.Millisecond))
 	default:
 		t.Fatalf("%s: unknown command %q", td.Pos, td.Cmd)
 	}
@@ -62,6 +72,9 @@
 	if td.HasArg("long") {
 		re.Length, re.Prompt, re.Memory = ml.Long, 100_000, 100_000
 	}
+	if td.HasArg("medium") {
+		re.Length = ml.Medium
+	}
 	if td.HasArg("prefix") {
 		re.Prefix = 7
 	}
@@ -88,6 +101,12 @@
 	return strings.Join(slices.Compact(seen), " ")
 }
 
+func number(t *testing.T, td *datadriven.TestData, key string) int {
+	n := 0
+	td.ScanArgs(t, key, &n)
+	return n
+}
+
 func text(td *datadriven.TestData, key string) string {
 	for _, ca := range td.CmdArgs {
 		if ca.Key == key && len(ca.Vals) > 0 {
@@ -106,7 +125,7 @@
 			rng := rand.New(rand.NewPCG(1, 1))
 			for i := range n {
 				ep := ml.Endpoint{ID: ml.EndpointID(fmt.Sprintf("e%d", i)), Kind: ml.KindEngine, Model: "m", Memory: 400_000}
-				ta.Update(start, ep, "owner", ml.EndpointLoad{Requests: rng.IntN(30), Window: 32, Prefill: ml.Tokens(rng.IntN(100_000)), Rate: 100_000})
+				ta.Update(start, ep, "owner", ml.EndpointLoad{Requests: rng.IntN(30), Window: 32, Ahead: [ml.Lengths]ml.Tokens{ml.Tokens(rng.IntN(100_000))}, Rate: 100_000})
 			}
 			re := router.Request{Model: "m", Prompt: 2000, Memory: 2100, Prefix: 5}
 			b.ReportAllocs()
--- a/internal/decision/router/table.go
+++ b/internal/decision/router/table.go
@@ -15,8 +15,10 @@
 	// staleAfter is the time after which a load that was not renewed no
 	// longer makes its endpoint a candidate.
 	staleAfter = 3 * time.Second
-	// maxHints bounds the prefixes whose last endpoint is remembered.
-	maxHints = 8192
+	// maxSeen bounds the prefixes that are remembered.
+	maxSeen = 8192
+	// PrefixTokens is the size of the block that prefixes are compared by.
+	PrefixTokens ml.Tokens = 1024
 	// longSetInterval is the time between two computations of the sets.
 	longSetInterval = time.Second
 )
@@ -37,7 +39,8 @@
 
 	groups map[string]*group
 	byID   map[ml.EndpointID]*Candidate
-	hints  map[uint64]ml.EndpointID
+	seen   map[uint64]bool // prefixes of earlier prompts
+	hits   float64         // share of prompts with a seen prefix that found it in the cache
 	rng    *rand.Rand
 }
 
@@ -46,7 +49,7 @@
 	return &Table{
 		Home: home, Policy: po, Candidates: candidates,
 		groups: make(map[string]*group), byID: make(map[ml.EndpointID]*Candidate),
-		hints: make(map[uint64]ml.EndpointID), rng: rand.New(rand.NewPCG(seed, 3)),
+		seen: make(map[uint64]bool), rng: rand.New(rand.NewPCG(seed, 3)),
 	}
 }
 
@@ -60,7 +63,7 @@
 		gp.insert(ca, ep.ID)
 	}
 	ca.Endpoint, ca.Owner, ca.Load, ca.Heard = ep, owner, lo, now
-	ca.Added, ca.AddedReq = 0, 0
+	ca.Added, ca.AddedReq = [ml.Lengths]ml.Tokens{}, 0
 }
 
 // Remove drops an endpoint: it is leaving, gone or out of service.
@@ -110,27 +113,52 @@
 		return nil, false
 	}
 	gp.resize(now)
-	cands := ta.sample(now, re, gp, avoid)
+	re.longFrom = gp.longFrom()
+	home := gp.home(re)
+	if ta.seen[re.Prefix] {
+		re.cacheAt, re.cached = home.Endpoint.ID, ml.Tokens(ta.hits*float64(PrefixTokens))
+	}
+	cands := ta.sample(now, re, gp, home, avoid)
 	if len(cands) == 0 {
 		return nil, false
 	}
-	ca := cands[ta.Policy.Pick(ta.rng, re, cands)]
+	ca := cands[ta.Policy.Pick(now, ta.rng, re, cands)]
 	return ca, true
 }
 
+// MostWait returns the longest wait at ca for which no other endpoint is asked
+// first, or zero for any.
+func (ta *Table) MostWait(now time.Time, re Request, ca *Candidate) time.Duration {
+	re.Home = ta.Home
+	return ta.Policy.MostWait(now, re, ca)
+}
+
 // Offered records that re is being offered to the endpoint.
 func (ta *Table) Offered(id ml.EndpointID, re Request) {
 	if ca := ta.byID[id]; ca != nil {
 		ta.count(ta.group(key(re.Model, re.Service)), re)
+		ta.remember(re.Prefix)
 		ca.InFlight++
 		ca.AddedReq++
-		ca.Added += re.Prompt
-		if re.Prefix != 0 {
-			ta.remember(re.Prefix, id)
+		for le := re.Length; le <= ml.Huge; le++ {
+			ca.Added[le] += re.Prompt
 		}
 	}
 }
 
+// Answered records how many tokens of a prompt its endpoint found in its
+// prefix cache. Only prompts with a prefix seen before tell anything.
+func (ta *Table) Answered(prefix uint64, cached ml.Tokens) {
+	if !ta.seen[prefix] {
+		return
+	}
+	const old, fresh = 0.95, 0.05 // weights of the moving average
+	ta.hits *= old
+	if cached >= PrefixTokens {
+		ta.hits += fresh
+	}
+}
+
 // Ended records that a request offered to the endpoint has ended.
 func (ta *Table) Ended(id ml.EndpointID) {
 	if ca := ta.byID[id]; ca != nil {
@@ -180,24 +208,24 @@
 	return out
 }
 
-// sample returns a few fresh candidates: the one that saw the prefix last and
-// others at random, from the set for the request's length first.
-func (ta *Table) sample(now time.Time, re Request, gp *group, avoid []ml.EndpointID) []*Candidate {
+// sample returns a few fresh candidates: the home of the prefix and others at
+// random, half of them or more from the set for the request's length.
+func (ta *Table) sample(now time.Time, re Request, gp *group, home *Candidate, avoid []ml.EndpointID) []*Candidate {
 	out := make([]*Candidate, 0, ta.Candidates)
 	add := func(ca *Candidate) {
 		if len(out) < ta.Candidates && usable(now, re, ca, avoid) && !slices.Contains(out, ca) {
 			out = append(out, ca)
 		}
 	}
-	if ca := ta.byID[ta.hints[re.Prefix]]; ca != nil && re.Prefix != 0 {
-		add(ca)
+	if re.cacheAt != "" {
+		add(home)
 	}
 	from, to := gp.set(re.Length)
-	tries := 4 * ta.Candidates
-	for i := 0; i < tries && len(out) < ta.Candidates; i++ {
+	tries, half := 4*ta.Candidates, (ta.Candidates+1)/2
+	for i := 0; i < tries && len(out) < half; i++ {
 		add(gp.all[from+ta.rng.IntN(to-from)])
 	}
-	for i := 0; i < tries && len(out) == 0; i++ {
+	for i := 0; i < tries && len(out) < ta.Candidates; i++ {
 		add(gp.all[ta.rng.IntN(len(gp.all))])
 	}
 	if len(out) > 0 {
@@ -229,17 +257,39 @@
 	gp.all = slices.Insert(gp.all, at, ca)
 }
 
+// home returns the endpoint where prompts with a prefix gather, so that they
+// find it in the cache. All entry VMs agree on it without a message.
+func (gp *group) home(re Request) *Candidate {
+	from, to := gp.set(re.Length)
+	set := gp.all[from:to]
+	at, _ := slices.BinarySearchFunc(set, re.Prefix, func(ca *Candidate, prefix uint64) int {
+		return cmp.Compare(ca.order, prefix)
+	})
+	return set[at%len(set)]
+}
+
+// longFrom returns the place of the first endpoint for long prompts, or zero
+// when there is no such set.
+func (gp *group) longFrom() uint64 {
+	if gp.long == 0 || gp.long >= len(gp.all) {
+		return 0
+	}
+	return gp.all[len(gp.all)-gp.long].order
+}
+
 // set returns the range of endpoints for a length: long prompts gather at the
-// end, all others go before them.
+// end and medium ones before them. Short ones may go to all, since engines
+// process them first.
 func (gp *group) set(le ml.Length) (from, to int) {
 	n := len(gp.all)
-	if gp.long == 0 || gp.long >= n {
+	switch {
+	case gp.long == 0 || gp.long >= n || le == ml.Short:
 		return 0, n
-	}
-	if le >= ml.Long {
+	case le >= ml.Long:
 		return n - gp.long, n
+	default:
+		return 0, n - gp.long
 	}
-	return 0, n - gp.long
 }
 
 // count keeps decaying sums of the prompt tokens by kind of length.
@@ -271,14 +321,18 @@
 	gp.long = min(max(want, 1), n-1)
 }
 
-func (ta *Table) remember(prefix uint64, id ml.EndpointID) {
-	if len(ta.hints) >= maxHints {
-		for old := range ta.hints {
-			delete(ta.hints, old)
+// remember records a prefix. When there are too many, any other is forgotten.
+func (ta *Table) remember(prefix uint64) {
+	if prefix == 0 || ta.seen[prefix] {
+		return
+	}
+	if len(ta.seen) >= maxSeen {
+		for old := range ta.seen {
+			delete(ta.seen, old)
 			break
 		}
 	}
-	ta.hints[prefix] = id
+	ta.seen[prefix] = true
 }
 
 func (ta *Table) group(k string) *group {
--- a/internal/duty/dispatcher/dispatcher.go
+++ b/internal/duty/dispatcher/dispatcher.go
@@ -65,6 +65,7 @@
 	text     []byte    // passed on so far
 	skip     ml.Tokens // tokens that the caller has from an earlier connection
 	prefix   uint64
+	rank     ml.Length // order among prompts: its length, unless lengths don't count
 }
 
 // Dispatcher carries requests.
@@ -105,7 +106,10 @@
 	co := di.Keeper.View().Config
 	rq.Tokens = ml.EstimateTokens(rq.Prompt)
 	rq.Length = co.LengthOf(rq.Tokens)
-	const prefixBytes = 1024 * ml.BytesPerToken
+	if co.Routing.ByLength {
+		rq.rank = rq.Length
+	}
+	const prefixBytes = int(router.PrefixTokens) * ml.BytesPerToken
 	if len(rq.Prompt) >= prefixBytes {
 		rq.prefix = xxhash.Sum64String(rq.Prompt[:prefixBytes])
 	}
@@ -180,6 +184,9 @@
 	if ou != ml.Completed && ou != ml.Unsent {
 		go di.runCancel(he)
 	}
+	if ou == ml.Completed {
+		di.Routes.Route(func(ta *router.Table) { ta.Answered(rq.prefix, rq.Cached) })
+	}
 	he.Release(ou)
 	return he.Endpoint.ID, err
 }
--- a/internal/duty/dispatcher/group.go
+++ b/internal/duty/dispatcher/group.go
@@ -123,8 +123,8 @@
 		}
 		gr.members = append(gr.members, he)
 	}
-	rr := router.Request{Model: rq.Model, Length: rq.Length, Prompt: rq.Tokens / ml.Tokens(len(cands)), Memory: gr.share}
-	he, err := di.reserve(ctx, rq, rr, cands[last], 0, true)
+	rr := router.Request{Model: rq.Model, Length: rq.rank, Prompt: rq.Tokens / ml.Tokens(len(cands)), Memory: gr.share}
+	he, err := di.reserve(ctx, rq, rr, offer{Candidate: cands[last], last: true}, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/duty/dispatcher/place.go
+++ b/internal/duty/dispatcher/place.go
@@ -39,7 +39,7 @@
 		return di.placeGroup(ctx, rq, memory)
 	}
 	he, err := di.placeOne(ctx, rq, router.Request{
-		Model: rq.Model, Length: rq.Length, Prompt: rq.Tokens, Memory: memory, Prefix: rq.prefix,
+		Model: rq.Model, Length: rq.rank, Prompt: rq.Tokens, Memory: memory, Prefix: rq.prefix,
 	}, avoid)
 	return he, nil, err
 }
@@ -55,26 +55,36 @@
 }
 
 // placeOne asks the owners of a few endpoints, one after the other, until one
-// grants.
+// grants. Where each has a longer wait than it was predicted to have, the
+// least busy one is asked again.
 func (di *Dispatcher) placeOne(ctx context.Context, rq *Request, rr router.Request, avoid []ml.EndpointID) (*holder.Held, error) {
 	hops := di.Keeper.View().Config.Retries.MaxRefusalHops
 	tried := append([]ml.EndpointID{}, avoid...)
 	var last error
+	least := offer{}
 	for hop := range hops {
-		ca, more, found := di.pick(rr, tried)
+		of, found := di.pick(rr, tried)
 		if !found {
 			break
 		}
-		he, err := di.reserve(ctx, rq, rr, ca, hop, hop == hops-1 || !more)
+		of.last = of.last || hop == hops-1
+		he, err := di.reserve(ctx, rq, rr, of, hop)
 		if err == nil {
 			return he, nil
 		}
-		di.ended(ca.Endpoint.ID)
-		last = worst(last, err)
+		di.ended(of.Endpoint.ID)
+		if er := ml.AsError("reserve", err); er.Type != ml.ErrBusy {
+			last = worst(last, err)
+		} else if least.Owner == "" || er.RetryAfter < least.wait {
+			least, least.wait = of, er.RetryAfter
+		}
 		if ctx.Err() != nil {
-			return nil, last
+			return nil, worst(last, err)
 		}
-		tried = append(tried, ca.Endpoint.ID)
+		tried = append(tried, of.Endpoint.ID)
+	}
+	if least.Owner != "" {
+		return di.placeAnyway(ctx, rq, rr, least, hops)
 	}
 	if last == nil {
 		last = &ml.Error{Type: ml.ErrUnavailable, Step: "route", NotRun: true, Err: errors.New("no endpoint in service can take it")}
@@ -82,37 +92,60 @@
 	return nil, last
 }
 
-// pick chooses a candidate and counts the request as offered to it. It also
-// tells whether there are more to try.
-func (di *Dispatcher) pick(rr router.Request, avoid []ml.EndpointID) (out router.Candidate, more, found bool) {
+// placeAnyway asks an owner again, whatever the wait.
+func (di *Dispatcher) placeAnyway(ctx context.Context, rq *Request, rr router.Request, of offer, part int) (*holder.Held, error) {
+	di.Routes.Route(func(ta *router.Table) { ta.Offered(of.Endpoint.ID, rr) })
+	of.last, of.mostWait = true, 0
+	he, err := di.reserve(ctx, rq, rr, of, part)
+	if err != nil {
+		di.ended(of.Endpoint.ID)
+	}
+	return he, err
+}
+
+// offer is an endpoint that a request is offered to.
+type offer struct {
+	router.Candidate
+	mostWait time.Duration // beyond it others are asked first; zero for any wait
+	patience time.Duration // longest wait for the grant, unless it is the last
+	last     bool          // there is no other to try
+	wait     time.Duration // as its owner told
+}
+
+// pick chooses an endpoint and counts the request as offered to it.
+func (di *Dispatcher) pick(rr router.Request, avoid []ml.EndpointID) (of offer, found bool) {
+	now := time.Now()
 	di.Routes.Route(func(ta *router.Table) {
-		ca, ok := ta.Pick(time.Now(), rr, avoid)
+		ca, ok := ta.Pick(now, rr, avoid)
 		if !ok {
 			return
 		}
+		const times = 3
+		of = offer{
+			Candidate: *ca, mostWait: ta.MostWait(now, rr, ca), patience: max(minPatience, times*router.Predict(now, rr, ca)),
+		}
+		found = true
 		ta.Offered(ca.Endpoint.ID, rr)
-		out, found = *ca, true
-		_, more = ta.Pick(time.Now(), rr, append(slices.Clone(avoid), ca.Endpoint.ID))
+		_, more := ta.Pick(now, rr, append(slices.Clone(avoid), ca.Endpoint.ID))
+		of.last = !more
 	})
-	return out, more, found
+	return of, found
 }
 
 // reserve asks for a grant. The last endpoint asked is waited for as long as
 // the deadline allows; the ones before it for a few times the predicted wait.
-func (di *Dispatcher) reserve(
-	ctx context.Context, rq *Request, rr router.Request, ca router.Candidate, part int, last bool,
-) (*holder.Held, error) {
+func (di *Dispatcher) reserve(ctx context.Context, rq *Request, rr router.Request, of offer, part int) (*holder.Held, error) {
 	left := time.Until(rq.Deadline)
 	needs := time.Duration(min(rq.MaxTokens-rq.Position, judgedTokens)) * tokenTime
 	patience := left
-	if !last {
-		const times = 3
-		patience = min(left, max(minPatience, times*router.Predict(rr, &ca)))
+	if !of.last {
+		patience = min(left, of.patience)
 	}
-	return di.Holder.Reserve(ctx, ca.Endpoint, ca.Owner, ml.Reservation{
-		ID: grantID(rq, part), Endpoint: ca.Endpoint.ID, Holder: di.Self, Team: rq.Team,
+	return di.Holder.Reserve(ctx, of.Endpoint, of.Owner, ml.Reservation{
+		ID: grantID(rq, part), Endpoint: of.Endpoint.ID, Holder: di.Self, Team: rq.Team,
 		Weight: di.Keeper.View().Config.TeamFor(rq.Team).Weight, Length: rr.Length, Prompt: rr.Prompt,
 		Memory: rr.Memory, DeadlineMs: left.Milliseconds(), NeedsMs: needs.Milliseconds(), PatienceMs: patience.Milliseconds(),
+		MostWaitMs: of.mostWait.Milliseconds(),
 	})
 }
 
--- a/internal/duty/dispatcher/stream.go
+++ b/internal/duty/dispatcher/stream.go
@@ -47,7 +47,7 @@
 	}
 	ge := ml.Generation{
 		ID: he.ID, Model: rq.Model, Prompt: rq.Prompt, MaxTokens: rq.MaxTokens, Position: rq.Position,
-		Generated: string(rq.text), Priority: int(rq.Length), Group: gr.list(), Sampling: rq.Sampling,
+		Generated: string(rq.text), Priority: int(rq.rank), Group: gr.list(), Sampling: rq.Sampling,
 	}
 	if mutator.Off(mutator.Positions) {
 		ge.Position = 0
@@ -59,12 +59,12 @@
 	}
 	rq.mayRun = true
 	he.Confirm(st.Incarnation())
-	err = di.relay(cancel, rq, si, st, Source{he.Endpoint.ID, he.ID})
+	err = di.relay(cancel, rq, si, st, he)
 	for try := 0; try < resumeTries && resumable(ctx, err); try++ {
 		if st, err = di.Engine.Resume(ctx, he.Endpoint, he.ID, rq.Position); err != nil {
 			break
 		}
-		err = di.relay(cancel, rq, si, st, Source{he.Endpoint.ID, he.ID})
+		err = di.relay(cancel, rq, si, st, he)
 	}
 	if err == nil {
 		return ml.Completed, nil
@@ -96,8 +96,9 @@
 
 // relay passes the tokens of a stream on. It checks that each is the next one
 // of this answer.
-func (di *Dispatcher) relay(cancel context.CancelCauseFunc, rq *Request, si Sink, st ml.Stream, from Source) error {
+func (di *Dispatcher) relay(cancel context.CancelCauseFunc, rq *Request, si Sink, st ml.Stream, he *holder.Held) error {
 	defer st.Close()
+	from := Source{he.Endpoint.ID, he.ID}
 	patience := firstLimit + time.Duration(rq.Tokens)*time.Second/prefillFloor
 	stall := time.AfterFunc(patience, func() {
 		if !mutator.Off(mutator.Deadlines) {
@@ -114,6 +115,7 @@
 			return err
 		}
 		stall.Reset(stallLimit)
+		he.Started()
 		if err := di.Auditor.Check(auditor.WholeAnswer, ch.Position == rq.Position+1,
 			"request %s got position %d after %d", rq.ID, ch.Position, rq.Position); err != nil && !mutator.Off(mutator.Positions) {
 			return &ml.Error{Type: ml.ErrEndpointFailed, Step: "read stream", Peer: string(from.Endpoint), Err: err}
@@ -170,7 +172,7 @@
 	}
 	rq.mayRun = true
 	he := di.Holder.Adopt(ep, rq.Resume.Grant, st.Incarnation())
-	if err = di.relay(cancel, rq, si, st, rq.Resume); err != nil {
+	if err = di.relay(cancel, rq, si, st, he); err != nil {
 		go di.runCancel(he)
 		he.Release(outcomeOf(ctx))
 		return false
--- a/internal/duty/holder/holder.go
+++ b/internal/duty/holder/holder.go
@@ -71,7 +71,8 @@
 	Incarnation ml.Incarnation // as the owner knew it
 	holder      *Holder
 	sendBy      time.Time
-	once        sync.Once
+	started     sync.Once
+	released    sync.Once
 }
 
 // New returns a holder whose messages end with ctx.
@@ -167,10 +168,18 @@
 	he.holder.tellOwner(ml.GrantNews{ID: he.ID, Endpoint: he.Endpoint.ID, Kind: ml.NewsConfirmed, Incarnation: in})
 }
 
+// Started tells the owner that the first token came. Only the first call
+// counts.
+func (he *Held) Started() {
+	he.started.Do(func() {
+		he.holder.tellOwner(ml.GrantNews{ID: he.ID, Endpoint: he.Endpoint.ID, Kind: ml.NewsStarted})
+	})
+}
+
 // Release tells the owner that the grant has ended. Only the first call
 // counts.
 func (he *Held) Release(ou ml.GrantOutcome) {
-	he.once.Do(func() {
+	he.released.Do(func() {
 		ho := he.holder
 		ho.mu.Lock()
 		delete(ho.held, he.ID)
--- a/internal/duty/owner/desk.go
+++ b/internal/duty/owner/desk.go
@@ -112,10 +112,15 @@
 		Cached: re.Cached, Memory: re.Memory, Member: re.Member,
 		Deadline: now.Add(time.Duration(re.DeadlineMs) * time.Millisecond),
 		Needs:    time.Duration(re.NeedsMs) * time.Millisecond,
+		MostWait: time.Duration(re.MostWaitMs) * time.Millisecond,
 	}
 	var refused *granter.Refused
 	if err := de.granter.Enqueue(now, as); errors.As(err, &refused) {
-		return nil, ml.Grant{Type: ml.ErrOverloaded, Reason: refused.Reason, RetryAfterMs: refused.RetryAfter.Milliseconds()}
+		gr := ml.Grant{Type: ml.ErrOverloaded, Reason: refused.Reason, RetryAfterMs: refused.RetryAfter.Milliseconds()}
+		if refused.Busy {
+			gr.Type = ml.ErrBusy
+		}
+		return nil, gr
 	}
 	answer := make(chan ml.Grant, 1)
 	de.waiting[re.ID] = answer
@@ -150,6 +155,8 @@
 	switch ne.Kind {
 	case ml.NewsConfirmed:
 		de.granter.Confirm(now, ne.ID, ne.Incarnation)
+	case ml.NewsStarted:
+		de.granter.Started(now, ne.ID)
 	case ml.NewsKept:
 		de.granter.Keep(now, ne.ID)
 	case ml.NewsReleased:
--- a/internal/setting/configurer/configurer.go
+++ b/internal/setting/configurer/configurer.go
@@ -37,6 +37,7 @@
 	Policy     string  `json:"policy"`     // one of router.PolicyNames
 	Candidates int     `json:"candidates"` // endpoints looked at per request
 	LongShare  float64 `json:"longShare"`  // share of an engine's memory open to long prompts
+	ByLength   bool    `json:"byLength"`   // shorter prompts go first, long ones gather on few engines
 }
 
 // Team holds the defaults for a team.
@@ -93,7 +94,7 @@
 		KeyLifeMs:        6 * 3600 * 1000,
 		Lengths:          Lengths{ShortMax: 4_000, MediumMax: 32_000, LongMax: 250_000},
 		Retries:          Retries{MaxAttempts: 4, BudgetPerCent: 20, BaseDelayMs: 20, RetryAfterMs: 1000, MaxRefusalHops: 3},
-		Routing:          Routing{Policy: "predicted", Candidates: 4, LongShare: 0.7},
+		Routing:          Routing{Policy: "predicted", Candidates: 4, LongShare: 0.7, ByLength: true},
 		Team:             Team{Weight: 1, MaxPrompt: 1_100_000},
 		Service:          Service{TimeoutMs: 10_000},
 		Objectives: Objectives{
--- a/messages.go
+++ b/messages.go
@@ -21,13 +21,15 @@
 	Requests int     `json:"r,omitempty"`
 	Waiting  int     `json:"q,omitempty"`
 	Window   int     `json:"w,omitempty"`
-	Prefill  Tokens  `json:"p,omitempty"` // prompt tokens not yet processed
-	Sooner   Tokens  `json:"n,omitempty"` // the part of them that goes before long prompts
 	Memory   Tokens  `json:"m,omitempty"` // in use
 	Long     int     `json:"l,omitempty"` // long prompts running or waiting
 	Rate     float64 `json:"v,omitempty"` // prefill tokens a second
 	Service  int64   `json:"s,omitempty"` // average milliseconds of one request
 	Cold     bool    `json:"c,omitempty"`
+
+	// Ahead holds the prompt tokens, not yet processed, that go before a new
+	// prompt of each length.
+	Ahead [Lengths]Tokens `json:"p,omitzero"`
 }
 
 // OwnedLoad is the load of one endpoint that the sender owns.
@@ -68,6 +70,10 @@
 	DeadlineMs int64      `json:"deadlineMs"` // until the answer must be complete
 	NeedsMs    int64      `json:"needsMs"`    // the answer takes at least this long
 	PatienceMs int64      `json:"patienceMs"` // longest wait for the grant
+
+	// MostWaitMs is the longest predicted wait for which the asker does not
+	// try another endpoint first; zero for any.
+	MostWaitMs int64 `json:"mostWaitMs,omitempty"`
 }
 
 // Grant answers a reservation.
@@ -86,6 +92,7 @@
 // The kinds of news.
 const (
 	NewsConfirmed NewsKind = "confirmed" // the endpoint accepted the request
+	NewsStarted   NewsKind = "started"   // the first token came: the prompt is processed
 	NewsKept      NewsKind = "kept"      // the holder still answers for it
 	NewsReleased  NewsKind = "released"  // it has ended
 )
