fix: follow an endpoint to its new owner instead of refusing

Cause: a request that waits at an owner which is stopping is told that the owner has changed. Where another engine had refused it before for lack of time, that refusal was passed on to the caller: a planned stop cut a request off. Where the change of owner was seen, four tries within 140 ms could all come before the new owner may grant, 750 ms after the old one. A call that may not be repeated was not tried again at all, though nothing had left. Ruled out: the wait at stop (limits.drainMs), the retry budget. Conclusion: a change of owner is tried again for 2.5 s without using the retry budget; calls that may not be repeated too, while nothing may have run.

--- a/internal/duty/dispatcher/call.go
+++ b/internal/duty/dispatcher/call.go
@@ -19,12 +19,18 @@
 // Call carries an idempotent call to a plain service. It is repeated on
 // another endpoint when one fails.
 func (di *Dispatcher) Call(ctx context.Context, rq *Request, service ml.ServiceName, sc ml.ServiceCall) (ml.ServiceAnswer, error) {
+	return di.call(ctx, rq, service, sc, func(time.Time) error { return nil })
+}
+
+func (di *Dispatcher) call(
+	ctx context.Context, rq *Request, service ml.ServiceName, sc ml.ServiceCall, mayRun func(time.Time) error,
+) (ml.ServiceAnswer, error) {
 	ctx, cancel := context.WithDeadline(ctx, rq.Deadline)
 	defer cancel()
 	di.Budget.Admitted(di.Keeper.View().Config.Retries.BudgetPerCent)
 	an := ml.ServiceAnswer{}
 	err := di.attempt(ctx, rq, func(ctx context.Context, avoid []ml.EndpointID) (ml.EndpointID, error) {
-		got, failed, err := di.callOnce(ctx, rq, service, sc, avoid, func(time.Time) error { return nil })
+		got, failed, err := di.callOnce(ctx, rq, service, sc, avoid, mayRun)
 		an = got
 		return failed, err
 	})
@@ -36,9 +42,8 @@
 func (di *Dispatcher) CallOnce(
 	ctx context.Context, rq *Request, service ml.ServiceName, sc ml.ServiceCall, mayRun func(time.Time) error,
 ) (ml.ServiceAnswer, error) {
-	ctx, cancel := context.WithDeadline(ctx, rq.Deadline)
-	defer cancel()
-	an, _, err := di.callOnce(ctx, rq, service, sc, nil, mayRun)
+	rq.once = true
+	an, err := di.call(ctx, rq, service, sc, mayRun)
 	if err != nil {
 		er := *ml.AsError("call service", err)
 		er.NotRun = !rq.mayRun || mutator.Off(mutator.NotRun)
--- a/internal/duty/dispatcher/dispatcher.go
+++ b/internal/duty/dispatcher/dispatcher.go
@@ -62,6 +62,8 @@
 	Cached   ml.Tokens
 	Counted  ml.Tokens // the engine's count of the prompt
 	mayRun   bool      // something may have run
+	once     bool      // it may not be repeated
+	moves    int       // tries that a change of owner has ended
 	text     []byte    // passed on so far
 	skip     ml.Tokens // tokens that the caller has from an earlier connection
 	prefix   uint64
@@ -119,7 +121,6 @@
 // attempt calls once until it succeeds, within the retry budget and the
 // deadline.
 func (di *Dispatcher) attempt(ctx context.Context, rq *Request, once func(context.Context, []ml.EndpointID) (ml.EndpointID, error)) error {
-	re := di.Keeper.View().Config.Retries
 	avoid := []ml.EndpointID{}
 	for {
 		rq.Attempts++
@@ -128,14 +129,14 @@
 			return nil
 		}
 		er := ml.AsError("serve request", err)
-		if !di.mayRetry(ctx, rq, er, re.MaxAttempts) {
+		wait, again := di.nextTry(ctx, rq, er)
+		if !again {
 			return di.final(ctx, rq, er)
 		}
 		di.Log.Info("retry", "request", rq.ID, "team", rq.Team, "step", er.Step, "peer", er.Peer, "position", rq.Position, "error", er.Err)
 		if failed != "" {
 			avoid = append(avoid, failed)
 		}
-		wait := budgeter.Delay(time.Duration(re.BaseDelayMs)*time.Millisecond, rq.Attempts)
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
@@ -143,15 +144,34 @@
 	}
 }
 
-func (di *Dispatcher) mayRetry(ctx context.Context, rq *Request, er *ml.Error, maxAttempts int) bool {
-	if ctx.Err() != nil || rq.Attempts >= maxAttempts {
-		return false
+const (
+	// maxMoves bounds how often a request follows its endpoint to a new owner.
+	maxMoves = 10
+	// moveWait is the time between two such tries. A new owner is known and
+	// may grant within half of maxMoves.
+	moveWait = 250 * time.Millisecond
+)
+
+// nextTry tells whether a request that failed is tried again, and after what
+// wait. A change of owner uses no retry: nothing was sent to an endpoint.
+func (di *Dispatcher) nextTry(ctx context.Context, rq *Request, er *ml.Error) (time.Duration, bool) {
+	if ctx.Err() != nil || (rq.once && rq.mayRun) {
+		return 0, false
+	}
+	if er.Type == ml.ErrEndpointNotFound && rq.moves < maxMoves {
+		rq.moves++
+		return moveWait, true
+	}
+	re := di.Keeper.View().Config.Retries
+	tries := rq.Attempts - rq.moves
+	if tries >= re.MaxAttempts {
+		return 0, false
 	}
 	switch er.Type {
 	case ml.ErrEndpointFailed, ml.ErrUnavailable, ml.ErrEndpointNotFound:
-		return di.Budget.Retry()
+		return budgeter.Delay(time.Duration(re.BaseDelayMs)*time.Millisecond, tries), di.Budget.Retry()
 	default:
-		return false
+		return 0, false
 	}
 }
 
--- a/internal/duty/dispatcher/place.go
+++ b/internal/duty/dispatcher/place.go
@@ -149,11 +149,23 @@
 	})
 }
 
-// worst keeps the refusal that tells most: overload before anything else,
-// with the shortest wait.
+// worst keeps the refusal that tells most.
 func worst(a, b error) error {
-	if a == nil || (ml.TypeOf(b) == ml.ErrOverloaded && ml.TypeOf(a) != ml.ErrOverloaded) {
+	if a == nil || telling(b) > telling(a) {
 		return b
 	}
 	return a
 }
+
+// telling orders refusals: a change of owner, after which the request may be
+// served, before lack of time, and that before anything else.
+func telling(err error) int {
+	switch ml.TypeOf(err) {
+	case ml.ErrEndpointNotFound:
+		return 2
+	case ml.ErrOverloaded:
+		return 1
+	default:
+		return 0
+	}
+}
