fix: keep connections to engines for the next request

Cause: the reader of an engine's stream stopped at [DONE] and closed the body before its end, so net/http closed the connection: a new one for each prompt. The same for lists too long to be sent with a length. The load tool did it too. Ruled out: idle limits of the transport, keep-alive at the stand-in.

--- a/internal/adapter/requester/requester.go
+++ b/internal/adapter/requester/requester.go
@@ -80,7 +80,11 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(rs.Body, maxAnswer))
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(rs.Body, maxAnswer)).Decode(out); err != nil {
+	data, err := io.ReadAll(io.LimitReader(rs.Body, maxAnswer)) // to its end, so that the connection is kept
+	if err == nil {
+		err = json.Unmarshal(data, out)
+	}
+	if err != nil {
 		return re.wrap(address, false, fmt.Errorf("read answer: %w", err))
 	}
 	return nil
--- a/internal/adapter/streamer/event.go
+++ b/internal/adapter/streamer/event.go
@@ -65,6 +65,7 @@
 		switch {
 		case !found:
 		case bytes.Equal(data, []byte("[DONE]")) && er.finished:
+			er.drain()
 			return ml.Chunk{}, io.EOF
 		case bytes.Equal(data, []byte("[DONE]")):
 			return ml.Chunk{}, er.broken(errShort)
@@ -78,6 +79,13 @@
 	return ml.Chunk{}, er.broken(errShort)
 }
 
+// drain reads the end of the body, without which the connection is not kept
+// for the next request. The answer is whole, so an error does not matter.
+func (er *eventReader) drain() {
+	const most = 4096
+	_, _ = io.CopyN(io.Discard, er.body, most)
+}
+
 func (er *eventReader) decode(data []byte) (ml.Chunk, error) {
 	ev := event{}
 	if err := json.Unmarshal(data, &ev); err != nil {
--- /dev/null
+++ b/internal/adapter/streamer/reuse_test.go
@@ -0,0 +1,64 @@
+package streamer_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/streamer"
+)
+
+// endLate is the time between the last event of a body and its end.
+const endLate = 5 * time.Millisecond
+
+// TestConnectionsKept checks that one connection serves one prompt after the
+// other, and the calls for a long list between them.
+func TestConnectionsKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	opened := atomic.Int64{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, "data: {\"choices\":[{\"text\":\"a\",\"finish_reason\":\"length\"}]}\n\ndata: [DONE]\n\n")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(endLate)
+	})
+	mux.HandleFunc("GET /v1/holds", func(w http.ResponseWriter, _ *http.Request) {
+		const long = 10_000 // more than is sent with a length
+		fmt.Fprintf(w, `{"incarnation":"%s"}`, strings.Repeat("i", long))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(endLate)
+	})
+	server := httptest.NewUnstartedServer(mux)
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	st := streamer.New(nil)
+	ep := ml.Endpoint{ID: "e", Address: strings.TrimPrefix(server.URL, "http://")}
+	const times = 5
+	for i := range times {
+		stream, err := st.Generate(t.Context(), ep, ml.Generation{ID: ml.GrantID(fmt.Sprint(i)), Prompt: "p", MaxTokens: 1})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		for err == nil {
+			_, err = stream.Next()
+		}
+		g.Expect(errors.Is(err, io.EOF)).To(gomega.BeTrue(), "%v", err)
+		g.Expect(stream.Close()).To(gomega.Succeed())
+		_, err = st.Report(t.Context(), ep)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	g.Expect(opened.Load()).To(gomega.BeNumerically("<=", 2), "one connection for streams and one for calls")
+}
--- a/internal/standin/generator/client.go
+++ b/internal/standin/generator/client.go
@@ -146,6 +146,7 @@
 	for sc.Scan() {
 		rd.heard.Store(time.Now().UnixMilli())
 		if ended := rd.line(sc.Text()); ended {
+			_, _ = io.Copy(io.Discard, rs.Body) // so that the connection is kept
 			return true
 		}
 	}
