perf: prefer an endpoint that this VM owns where others are no better

Cause: what a node adds to a request was taken apart. Of 1.0 ms at p50 the call to the owner took 0.59 ms on another VM and 0.08 ms on this one; the way in 0.09, the rest the hop itself. Waking an idle process is the cost. Change: an endpoint owned here is among the candidates and 0.5 ms cheaper. Round robin now goes over all endpoints in turn; it chose among random ones and began anew each 200 ms. The direct way of make overhead goes to all engines, as the other does; it queued at one.

--- a/internal/command/server/server.go
+++ b/internal/command/server/server.go
@@ -141,6 +141,7 @@
 	}
 	co := se.keeper.View().Config.Routing
 	table := router.NewTable(ss.Domain, router.ByName(co.Policy), co.Candidates, uint64(time.Now().UnixNano()))
+	table.Self = ss.VM
 	se.gossiper = gossiper.New(self, ti, table)
 	se.gossiper.Clock = clock
 	se.gossiper.Peers, se.gossiper.Keeper, se.gossiper.Log = se.peers, se.keeper, se.Log
--- a/internal/decision/router/router.go
+++ b/internal/decision/router/router.go
@@ -40,6 +40,7 @@
 	cacheAt  ml.EndpointID // where prompts with this prefix gather
 	cached   ml.Tokens     // expected in the prefix cache there
 	longFrom uint64        // place of the first endpoint of the set for long prompts; zero for no set
+	self     ml.VMID
 }
 
 // away tells whether ca is outside the set for the request's length. Short
@@ -65,13 +66,29 @@
 	// MostWait returns the longest wait at ca for which no other endpoint
 	// is asked first, or zero for any.
 	MostWait(now time.Time, re Request, ca *Candidate) time.Duration
+	// Sampling tells which endpoints become its candidates.
+	Sampling() Sampling
 }
 
-// patient policies take any wait at the endpoint that they picked.
-type patient struct{}
+// Sampling is a way to find a few candidates.
+type Sampling int
+
+// The ways to find candidates.
+const (
+	Any    Sampling = iota // at random
+	InTurn                 // the next one
+	Likely                 // those with an advantage, and others at random
+)
+
+// blind policies know nothing of the time that a request will take and accept
+// any wait.
+type blind struct{}
 
 // MostWait implements Policy.
-func (patient) MostWait(time.Time, Request, *Candidate) time.Duration { return 0 }
+func (blind) MostWait(time.Time, Request, *Candidate) time.Duration { return 0 }
+
+// Sampling implements Policy.
+func (blind) Sampling() Sampling { return Any }
 
 // PolicyNames lists the names that ByName takes.
 var PolicyNames = []string{"predicted", "leastInFlight", "roundRobin", "random"}
@@ -82,7 +99,7 @@
 	case "random":
 		return Random{}
 	case "roundRobin":
-		return &RoundRobin{}
+		return RoundRobin{}
 	case "leastInFlight":
 		return LeastInFlight{}
 	default:
@@ -91,27 +108,24 @@
 }
 
 // Random picks any candidate.
-type Random struct{ patient }
+type Random struct{ blind }
 
 // Pick implements Policy.
 func (Random) Pick(_ time.Time, rng *rand.Rand, _ Request, cands []*Candidate) int {
 	return rng.IntN(len(cands))
 }
 
-// RoundRobin picks the candidates in turn.
-type RoundRobin struct {
-	patient
-	next int
-}
+// RoundRobin picks the endpoints in turn.
+type RoundRobin struct{ blind }
 
 // Pick implements Policy.
-func (rr *RoundRobin) Pick(_ time.Time, _ *rand.Rand, _ Request, cands []*Candidate) int {
-	rr.next++
-	return rr.next % len(cands)
-}
+func (RoundRobin) Pick(time.Time, *rand.Rand, Request, []*Candidate) int { return 0 }
+
+// Sampling implements Policy.
+func (RoundRobin) Sampling() Sampling { return InTurn }
 
 // LeastInFlight picks the candidate with the fewest requests of this VM.
-type LeastInFlight struct{ patient }
+type LeastInFlight struct{ blind }
 
 // Pick implements Policy.
 func (LeastInFlight) Pick(_ time.Time, rng *rand.Rand, _ Request, cands []*Candidate) int {
@@ -133,7 +147,13 @@
 	return Wait(now, re, ca) + waitSlack
 }
 
+// Sampling implements Policy.
+func (Predicted) Sampling() Sampling { return Likely }
+
 const (
+	// otherOwnerCost is added for asking another VM and waiting for its
+	// answer.
+	otherOwnerCost = 500 * time.Microsecond
 	// otherDomainCost is added for the way to another domain and back.
 	otherDomainCost = 3 * time.Millisecond
 	// sharedCost is added for each request already running, which slows
@@ -173,6 +193,9 @@
 	if ca.Endpoint.Domain != re.Home {
 		out += otherDomainCost
 	}
+	if ca.Owner != re.self {
+		out += otherOwnerCost
+	}
 	return out
 }
 
--- a/internal/decision/router/router_test.go
+++ b/internal/decision/router/router_test.go
@@ -48,6 +48,10 @@
 			ep := ml.Endpoint{ID: ml.EndpointID(id), Domain: ml.DomainID(domain), Kind: ml.KindEngine, Model: "m", Memory: 400_000}
 			ta.Update(now, ep, "owner", lo)
 		}
+	case "own":
+		ep := ml.Endpoint{ID: ml.EndpointID(text(td, "id")), Domain: "home", Kind: ml.KindEngine, Model: "m", Memory: 400_000}
+		ta.Self = "self"
+		ta.Update(now, ep, ta.Self, ml.EndpointLoad{Window: 32, Rate: 100_000, Service: 500})
 	case "remove":
 		ta.Remove(ml.EndpointID(text(td, "id")))
 	case "pick":
--- a/internal/decision/router/table.go
+++ b/internal/decision/router/table.go
@@ -26,13 +26,16 @@
 // group holds the endpoints that serve one model or service.
 type group struct {
 	all    []*Candidate
-	long   int // how many at the end of all take long prompts
+	own    []*Candidate // those that this VM owns
+	turn   int          // place of the endpoint that was chosen last in turn
+	long   int          // how many at the end of all take long prompts
 	counts [2]float64
 	sized  time.Time
 }
 
 // Table holds the candidates. It is not safe for concurrent use.
 type Table struct {
+	Self       ml.VMID
 	Home       ml.DomainID
 	Policy     Policy
 	Candidates int // looked at per request
@@ -59,8 +62,10 @@
 	if ca == nil {
 		ca = &Candidate{}
 		ta.byID[ep.ID] = ca
-		gp := ta.group(key(ep.Model, ep.Service))
-		gp.insert(ca, ep.ID)
+		ta.group(key(ep.Model, ep.Service)).insert(ca, ep.ID)
+	}
+	if had, has := ca.Owner == ta.Self && ca.Owner != "", owner == ta.Self; had != has {
+		ta.group(key(ep.Model, ep.Service)).setOwn(ca, has)
 	}
 	ca.Endpoint, ca.Owner, ca.Load, ca.Heard = ep, owner, lo, now
 	ca.Added, ca.AddedReq = [ml.Lengths]ml.Tokens{}, 0
@@ -75,6 +80,7 @@
 	delete(ta.byID, id)
 	gp := ta.group(key(ca.Endpoint.Model, ca.Endpoint.Service))
 	gp.all = slices.DeleteFunc(gp.all, func(other *Candidate) bool { return other == ca })
+	gp.setOwn(ca, false)
 }
 
 // Retain drops the endpoints that keep returns false for.
@@ -107,7 +113,7 @@
 // Pick returns the endpoint to offer re to, not one of avoid. The second
 // result is false when there is none.
 func (ta *Table) Pick(now time.Time, re Request, avoid []ml.EndpointID) (*Candidate, bool) {
-	re.Home = ta.Home
+	re.Home, re.self = ta.Home, ta.Self
 	gp := ta.groups[key(re.Model, re.Service)]
 	if gp == nil || len(gp.all) == 0 {
 		return nil, false
@@ -129,7 +135,6 @@
 // MostWait returns the longest wait at ca for which no other endpoint is asked
 // first, or zero for any.
 func (ta *Table) MostWait(now time.Time, re Request, ca *Candidate) time.Duration {
-	re.Home = ta.Home
 	return ta.Policy.MostWait(now, re, ca)
 }
 
@@ -208,8 +213,9 @@
 	return out
 }
 
-// sample returns a few fresh candidates: the home of the prefix and others at
-// random, half of them or more from the set for the request's length.
+// sample returns a few fresh candidates: the next in turn, or at random, half
+// of them from the set for the request's length. Likely ones are the home of
+// the prefix and one that this VM owns.
 func (ta *Table) sample(now time.Time, re Request, gp *group, home *Candidate, avoid []ml.EndpointID) []*Candidate {
 	out := make([]*Candidate, 0, ta.Candidates)
 	add := func(ca *Candidate) {
@@ -217,13 +223,26 @@
 			out = append(out, ca)
 		}
 	}
-	if re.cacheAt != "" {
-		add(home)
+	set := gp.set(re.Length)
+	switch ta.Policy.Sampling() {
+	case Any:
+	case InTurn:
+		for i := 0; i < len(set) && len(out) == 0; i++ {
+			gp.turn++
+			add(set[gp.turn%len(set)])
+		}
+		return out
+	case Likely:
+		if re.cacheAt != "" {
+			add(home)
+		}
+		if len(gp.own) > 0 {
+			add(gp.own[ta.rng.IntN(len(gp.own))])
+		}
 	}
-	from, to := gp.set(re.Length)
 	tries, half := 4*ta.Candidates, (ta.Candidates+1)/2
 	for i := 0; i < tries && len(out) < half; i++ {
-		add(gp.all[from+ta.rng.IntN(to-from)])
+		add(set[ta.rng.IntN(len(set))])
 	}
 	for i := 0; i < tries && len(out) < ta.Candidates; i++ {
 		add(gp.all[ta.rng.IntN(len(gp.all))])
@@ -257,11 +276,18 @@
 	gp.all = slices.Insert(gp.all, at, ca)
 }
 
+// setOwn records whether this VM owns an endpoint.
+func (gp *group) setOwn(ca *Candidate, owned bool) {
+	gp.own = slices.DeleteFunc(gp.own, func(other *Candidate) bool { return other == ca })
+	if owned {
+		gp.own = append(gp.own, ca)
+	}
+}
+
 // home returns the endpoint where prompts with a prefix gather, so that they
 // find it in the cache. All entry VMs agree on it without a message.
 func (gp *group) home(re Request) *Candidate {
-	from, to := gp.set(re.Length)
-	set := gp.all[from:to]
+	set := gp.set(re.Length)
 	at, _ := slices.BinarySearchFunc(set, re.Prefix, func(ca *Candidate, prefix uint64) int {
 		return cmp.Compare(ca.order, prefix)
 	})
@@ -277,18 +303,18 @@
 	return gp.all[len(gp.all)-gp.long].order
 }
 
-// set returns the range of endpoints for a length: long prompts gather at the
-// end and medium ones before them. Short ones may go to all, since engines
-// process them first.
-func (gp *group) set(le ml.Length) (from, to int) {
-	n := len(gp.all)
+// set returns the endpoints for a length: long prompts gather at the end and
+// medium ones before them. Short ones may go to all, since engines process
+// them first.
+func (gp *group) set(le ml.Length) []*Candidate {
+	from := len(gp.all) - gp.long
 	switch {
-	case gp.long == 0 || gp.long >= n || le == ml.Short:
-		return 0, n
+	case gp.long == 0 || from <= 0 || le == ml.Short:
+		return gp.all
 	case le >= ml.Long:
-		return n - gp.long, n
+		return gp.all[from:]
 	default:
-		return 0, n - gp.long
+		return gp.all[:from]
 	}
 }
 
--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -12,10 +12,11 @@
 sleep 2
 entry=$(sed -n 's/.*"address": "\([^"]*\)", "ready".*/\1/p' "$FLEET_DIR/load.jsonc" | head -1)
 ready=$(sed -n 's/.*"ready": "\([^"]*\)".*/\1/p' "$FLEET_DIR/load.jsonc" | head -1)
-engine=$(grep '"kind": "engine"' "$FLEET_DIR/fleet.jsonc" | sed -n 's/.*"address": "\([^"]*\)".*/\1/p' | head -1)
+# Directly the prompts go to all engines in turn, as through the entry VM.
+engines=$(grep '"kind": "engine"' "$FLEET_DIR/fleet.jsonc" | sed -n 's/.*"address": "\([^"]*\)".*/{"address": "\1", "ready": "\1"},/p')
 rest=$(sed -n '/"model"/p;/"teams"/,/\],/p' "$FLEET_DIR/load.jsonc")
 prompts='"prompts": [{"name": "tiny", "weight": 1, "minTokens": 100, "maxTokens": 100, "answer": 1, "timeoutMs": 5000}], "services": [], "rate": 20'
-echo "{\"targets\": [{\"address\": \"$engine\", \"ready\": \"$engine\"}], $rest $prompts}" >"$OUT/direct.jsonc"
+echo "{\"targets\": [$engines], $rest $prompts}" >"$OUT/direct.jsonc"
 echo "{\"targets\": [{\"address\": \"$entry\", \"ready\": \"$ready\"}], $rest $prompts}" >"$OUT/node.jsonc"
 for turn in 1 2; do
   for way in direct node; do
