--- /dev/null
+++ b/internal/state/burner/bucket.go
@@ -0,0 +1,72 @@
+package burner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// entry is one series of a bucket.
+type entry struct {
+	id seriesID
+	tally
+}
+
+// bucket holds the counts of a span of time that is over.
+type bucket struct {
+	start   time.Time
+	span    time.Duration
+	entries []entry // in the order of their ids
+}
+
+func newBucket(start time.Time, counts map[seriesID]tally) bucket {
+	bk := bucket{start: start, span: fineBucket, entries: make([]entry, 0, len(counts))}
+	for id, ta := range counts {
+		bk.entries = append(bk.entries, entry{id, ta})
+	}
+	slices.SortFunc(bk.entries, func(a, b entry) int { return cmp.Compare(a.id, b.id) })
+	return bk
+}
+
+// compact merges old fine buckets into coarse ones and drops the oldest.
+func compact(now time.Time, buckets []bucket) []bucket {
+	out := make([]bucket, 0, len(buckets)+1)
+	for _, bk := range buckets {
+		switch {
+		case now.Sub(bk.start) > Windows[len(Windows)-1]:
+		case now.Sub(bk.start) > fineKept && bk.span == fineBucket:
+			out = merge(out, bk)
+		default:
+			out = append(out, bk)
+		}
+	}
+	return out
+}
+
+// merge adds a fine bucket to the coarse one that covers it.
+func merge(out []bucket, fine bucket) []bucket {
+	start := fine.start.Truncate(coarseBucket)
+	n := len(out)
+	if n == 0 || out[n-1].span != coarseBucket || !out[n-1].start.Equal(start) {
+		return append(out, bucket{start: start, span: coarseBucket, entries: fine.entries})
+	}
+	out[n-1].entries = addEntries(out[n-1].entries, fine.entries)
+	return out
+}
+
+// addEntries adds two lists in the order of their ids.
+func addEntries(a, b []entry) []entry {
+	out := make([]entry, 0, max(len(a), len(b)))
+	for len(a) > 0 && len(b) > 0 {
+		switch {
+		case a[0].id < b[0].id:
+			out, a = append(out, a[0]), a[1:]
+		case a[0].id > b[0].id:
+			out, b = append(out, b[0]), b[1:]
+		default:
+			both := tally{a[0].good + b[0].good, a[0].total + b[0].total}
+			out, a, b = append(out, entry{a[0].id, both}), a[1:], b[1:]
+		}
+	}
+	return append(append(out, a...), b...)
+}
--- a/internal/state/burner/burner.go
+++ b/internal/state/burner/burner.go
@@ -65,17 +65,20 @@
 	fineKept     = time.Hour // then merged into coarse buckets
 )
 
-// bucket holds the counts of a span of time.
-type bucket struct {
-	start  time.Time
-	span   time.Duration
-	counts map[Key]*Count
-}
+// seriesID stands for a key in buckets: there are many teams.
+type seriesID int32
+
+// tally is a Count of one bucket, kept small.
+type tally struct{ good, total uint32 }
 
 // Burner counts. The zero value has counted nothing.
 type Burner struct {
 	mu      sync.Mutex
-	buckets []*bucket // oldest first
+	keys    []Key // by series
+	series  map[Key]seriesID
+	minute  time.Time // that current counts
+	current map[seriesID]tally
+	buckets []bucket // of earlier minutes, oldest first
 	recent  [ml.Lengths]*hdrhistogram.Histogram
 	before  [ml.Lengths]*hdrhistogram.Histogram
 	rotated time.Time
@@ -85,16 +88,41 @@
 func (bu *Burner) Add(now time.Time, ke Key, good bool) {
 	bu.mu.Lock()
 	defer bu.mu.Unlock()
-	bk := bu.current(now)
-	co := bk.counts[ke]
-	if co == nil {
-		co = &Count{}
-		bk.counts[ke] = co
-	}
-	co.Total++
+	bu.turn(now)
+	id := bu.intern(ke)
+	ta := bu.current[id]
+	ta.total++
 	if good {
-		co.Good++
+		ta.good++
+	}
+	bu.current[id] = ta
+}
+
+func (bu *Burner) intern(ke Key) seriesID {
+	id, known := bu.series[ke]
+	if known {
+		return id
+	}
+	if bu.series == nil {
+		bu.series = make(map[Key]seriesID)
 	}
+	id = seriesID(len(bu.keys))
+	bu.keys = append(bu.keys, ke)
+	bu.series[ke] = id
+	return id
+}
+
+// turn closes the current minute's counts when another minute has begun.
+func (bu *Burner) turn(now time.Time) {
+	minute := now.Truncate(fineBucket)
+	if bu.current != nil && !bu.minute.Before(minute) {
+		return
+	}
+	if len(bu.current) > 0 {
+		bu.buckets = append(bu.buckets, newBucket(bu.minute, bu.current))
+	}
+	bu.buckets = compact(now, bu.buckets)
+	bu.minute, bu.current = minute, make(map[seriesID]tally)
 }
 
 // Record adds a time to the first token to its length's histogram.
@@ -121,9 +149,11 @@
 	bu.mu.Lock()
 	defer bu.mu.Unlock()
 	rows := make(map[Key]*Row)
-	for _, bk := range bu.buckets {
+	all := append(slices.Clone(bu.buckets), newBucket(bu.minute, bu.current))
+	for _, bk := range all {
 		age := now.Sub(bk.start)
-		for ke, co := range bk.counts {
+		for _, en := range bk.entries {
+			ke := bu.keys[en.id]
 			ro := rows[ke]
 			if ro == nil {
 				ro = &Row{Key: ke}
@@ -131,8 +161,8 @@
 			}
 			for i, wi := range Windows {
 				if age <= wi {
-					ro.Counts[i].Good += co.Good
-					ro.Counts[i].Total += co.Total
+					ro.Counts[i].Good += int64(en.good)
+					ro.Counts[i].Total += int64(en.total)
 				}
 			}
 		}
@@ -165,49 +195,6 @@
 	return nil
 }
 
-// current returns the bucket for now, merges old buckets and drops the oldest.
-func (bu *Burner) current(now time.Time) *bucket {
-	start := now.Truncate(fineBucket)
-	n := len(bu.buckets)
-	if n > 0 && !bu.buckets[n-1].start.Before(start) {
-		return bu.buckets[n-1]
-	}
-	bk := &bucket{start: start, span: fineBucket, counts: make(map[Key]*Count)}
-	bu.buckets = append(bu.compact(now), bk)
-	return bk
-}
-
-func (bu *Burner) compact(now time.Time) []*bucket {
-	out := make([]*bucket, 0, len(bu.buckets)+1)
-	for _, bk := range bu.buckets {
-		switch {
-		case now.Sub(bk.start) > Windows[len(Windows)-1]:
-		case now.Sub(bk.start) > fineKept && bk.span == fineBucket:
-			out = merge(out, bk)
-		default:
-			out = append(out, bk)
-		}
-	}
-	return out
-}
-
-// merge adds a fine bucket to the coarse one that covers it.
-func merge(out []*bucket, fine *bucket) []*bucket {
-	start := fine.start.Truncate(coarseBucket)
-	if n := len(out); n == 0 || out[n-1].span != coarseBucket || !out[n-1].start.Equal(start) {
-		return append(out, &bucket{start: start, span: coarseBucket, counts: fine.counts})
-	}
-	into := out[len(out)-1].counts
-	for ke, co := range fine.counts {
-		if into[ke] == nil {
-			into[ke] = &Count{}
-		}
-		into[ke].Good += co.Good
-		into[ke].Total += co.Total
-	}
-	return out
-}
-
 // SortRows sorts rows by their keys.
 func SortRows(rows []Row) {
 	slices.SortFunc(rows, func(a, b Row) int {
