--- a/internal/command/commander/operate.go
+++ b/internal/command/commander/operate.go
@@ -201,8 +201,8 @@
 
 type exceptionAddCommand struct {
 	changeOptions
-	Scope  string `long:"scope" required:"true" description:"team or service"`
-	Name   string `long:"name" required:"true" description:"the team's or service's name"`
+	Scope  string `long:"scope" required:"true" description:"team, service or objectives"`
+	Name   string `long:"name" required:"true" description:"the team's or service's name; the team's for objectives"`
 	Field  string `long:"field" required:"true" description:"the default to replace"`
 	Value  string `long:"value" required:"true" description:"its value, as JSON"`
 	Reason string `long:"reason" description:"why; required"`
--- a/internal/command/server/observer.go
+++ b/internal/command/server/observer.go
@@ -44,7 +44,7 @@
 }
 
 func (ob observer) observeTimes(now time.Time, ke burner.Key, en receiver.Entry) {
-	obj := ob.keeper.View().Config.Objectives
+	obj := ob.keeper.View().Config.ObjectivesFor(ke.Team)
 	ke.Objective = burner.TTFT
 	ob.burner.Add(now, ke, en.TTFT > 0 && en.TTFT <= configurer.Millis(obj.TTFTMs[en.Length]))
 	if en.TTFT > 0 {
--- a/internal/setting/configurer/exception.go
+++ b/internal/setting/configurer/exception.go
@@ -12,8 +12,8 @@
 
 // Exception replaces one default for one team or service.
 type Exception struct {
-	Scope  string          `json:"scope"` // "team" or "service"
-	Name   string          `json:"name"`
+	Scope  string          `json:"scope"` // "team", "service" or "objectives"
+	Name   string          `json:"name"`  // of the team or service; of the team for objectives
 	Field  string          `json:"field"` // a field of the scope's defaults
 	Value  json.RawMessage `json:"value"`
 	Reason string          `json:"reason"`
@@ -26,8 +26,9 @@
 
 // scopes lists the fields open to exceptions.
 var scopes = map[string][]string{
-	"team":    {"weight", "maxInFlight", "maxPrompt"},
-	"service": {"idempotent", "timeoutMs"},
+	"team":       {"weight", "maxInFlight", "maxPrompt"},
+	"service":    {"idempotent", "timeoutMs"},
+	"objectives": {"ttftMs", "betweenTokensMs"},
 }
 
 // Check returns everything wrong with the exception.
@@ -36,7 +37,7 @@
 	fields, known := scopes[ex.Scope]
 	switch {
 	case !known:
-		ch.add("scope", ex.Scope, "must be team or service")
+		ch.add("scope", ex.Scope, "must be team, service or objectives")
 	case !slices.Contains(fields, ex.Field):
 		ch.add("field", ex.Field, "must be one of %s", strings.Join(fields, ", "))
 	default:
@@ -65,33 +66,45 @@
 	if err != nil {
 		return err
 	}
-	if ex.Scope == "service" {
+	switch ex.Scope {
+	case "service":
 		return parser.Parse(patch, &co.Service)
+	case "objectives":
+		return parser.Parse(patch, &co.Objectives)
+	default:
+		return parser.Parse(patch, &co.Team)
 	}
-	return parser.Parse(patch, &co.Team)
 }
 
 // Effective is a configuration with its exceptions worked out.
 type Effective struct {
 	Config
-	teams    map[ml.TeamID]Team
-	services map[ml.ServiceName]Service
+	teams      map[ml.TeamID]Team
+	services   map[ml.ServiceName]Service
+	objectives map[ml.TeamID]Objectives
 }
 
 // Resolve works out the exceptions. Faulty ones have no effect; they can't be
 // accepted in the first place.
 func Resolve(co Config, exs []Exception) *Effective {
-	ef := &Effective{Config: co, teams: make(map[ml.TeamID]Team), services: make(map[ml.ServiceName]Service)}
+	ef := &Effective{
+		Config: co, teams: make(map[ml.TeamID]Team), services: make(map[ml.ServiceName]Service),
+		objectives: make(map[ml.TeamID]Objectives),
+	}
 	for _, ex := range exs {
+		team, service := ml.TeamID(ex.Name), ml.ServiceName(ex.Name)
 		own := co
-		own.Team, own.Service = ef.TeamFor(ml.TeamID(ex.Name)), ef.ServiceFor(ml.ServiceName(ex.Name))
+		own.Team, own.Service, own.Objectives = ef.TeamFor(team), ef.ServiceFor(service), ef.ObjectivesFor(team)
 		if ex.apply(&own) != nil {
 			continue
 		}
-		if ex.Scope == "team" {
-			ef.teams[ml.TeamID(ex.Name)] = own.Team
-		} else {
-			ef.services[ml.ServiceName(ex.Name)] = own.Service
+		switch ex.Scope {
+		case "service":
+			ef.services[service] = own.Service
+		case "objectives":
+			ef.objectives[team] = own.Objectives
+		default:
+			ef.teams[team] = own.Team
 		}
 	}
 	return ef
@@ -112,3 +125,11 @@
 	}
 	return ef.Service
 }
+
+// ObjectivesFor returns the objectives that a team's requests are judged by.
+func (ef *Effective) ObjectivesFor(id ml.TeamID) Objectives {
+	if ob, found := ef.objectives[id]; found {
+		return ob
+	}
+	return ef.Objectives
+}
