perf: fetch what changed in the list of VMs, not the whole list

Change: the list has versions; a reader names the one that it has and gets what came after, or the whole when the platform does not know it. Only the adapter and the stand-in know; the port tells whether the list changed.

--- a/internal/command/operator/operator.go
+++ b/internal/command/operator/operator.go
@@ -136,7 +136,10 @@
 }
 
 // VMs returns the platform's list.
-func (op *Operator) VMs(ctx context.Context) (ml.VMs, error) { return op.list.List(ctx) }
+func (op *Operator) VMs(ctx context.Context) (ml.VMs, error) {
+	vms, _, err := op.list.List(ctx)
+	return vms, err
+}
 
 // VMStatus is the status of an entry VM, or why there is none.
 type VMStatus struct {
@@ -146,7 +149,7 @@
 
 // Statuses asks all listed entry VMs for their status, in the order of ids.
 func (op *Operator) Statuses(ctx context.Context) ([]VMStatus, error) {
-	vms, err := op.list.List(ctx)
+	vms, err := op.VMs(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/duty/watcher/watcher.go
+++ b/internal/duty/watcher/watcher.go
@@ -48,12 +48,13 @@
 }
 
 func (wa *Watcher) read(ctx context.Context) {
-	vms, err := wa.List.List(ctx)
-	if err == nil {
-		wa.Keeper.SetVMs(vms)
-	} else {
+	vms, changed, err := wa.List.List(ctx)
+	switch {
+	case err != nil:
 		listErrors.Inc()
 		wa.Log.Warn("list VMs", "error", err)
+	case changed:
+		wa.Keeper.SetVMs(vms)
 	}
 	if !wa.Keeper.Known() {
 		wa.askNeighbours(ctx)
--- a/internal/standin/recorder/prober.go
+++ b/internal/standin/recorder/prober.go
@@ -31,6 +31,7 @@
 	lists     []seen
 	leaving   []string
 	overloads map[string]int
+	tracker   tracker
 }
 
 // loop probes all VMs, round after round.
@@ -87,12 +88,17 @@
 	return ml.StateLive
 }
 
+// shown returns what changed after a version in the list as it is shown now.
+func (pr *prober) shown(now time.Time, since int64) listPart {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	return pr.tracker.show(now, pr.lagged(now), since)
+}
+
 // lagged returns the list as it was one lag ago, or the oldest one. Absent
 // VMs are not listed.
 func (pr *prober) lagged(now time.Time) ml.VMs {
 	lag := time.Duration(pr.fleet.Platform.ListLagMs) * time.Millisecond
-	pr.mu.Lock()
-	defer pr.mu.Unlock()
 	out := ml.VMs{}
 	for i := len(pr.lists) - 1; i >= 0; i-- {
 		out = pr.lists[i].vms
--- a/internal/standin/recorder/recorder.go
+++ b/internal/standin/recorder/recorder.go
@@ -133,11 +133,12 @@
 	writeJSON(w, re.journal.read(time.Now(), ml.Offset(from)))
 }
 
-func (re *Recorder) list(w http.ResponseWriter, _ *http.Request) {
+func (re *Recorder) list(w http.ResponseWriter, r *http.Request) {
 	if re.disturbed(w) {
 		return
 	}
-	writeJSON(w, re.prober.lagged(time.Now()))
+	since, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
+	writeJSON(w, re.prober.shown(time.Now(), since))
 }
 
 func (re *Recorder) fetchWeights(w http.ResponseWriter, r *http.Request) {
--- a/ports.go
+++ b/ports.go
@@ -175,5 +175,7 @@
 
 // VMList is the platform's list of VMs.
 type VMList interface {
-	List(ctx context.Context) (VMs, error)
+	// List returns the list, and whether it differs from the one returned
+	// before.
+	List(ctx context.Context) (vms VMs, changed bool, err error)
 }
