feat: cells of a large failure domain; look VMs up instead of searching

Loads of other domains would have been 43 s old. The list of VMs was searched for each load heard of and each stream resumed. An entry VM that was replaced under another name was sent heartbeats for ever. Ways weighed: longer intervals in large domains (loads too old, and members that disagree on the size could both own an endpoint); a number of cells in the configuration (the same danger at each change). Chosen: the cell is part of a VM's settings and of the platform's list, fixed for its life, so nothing needs to be agreed. Change: entry VMs own the endpoints of their own place (domain and cell); the planner's lease is per place; with more than 64 others two instead of eight hear of loads in a round; the list is indexed; contacts not listed and not heard of for a minute are forgotten. A test on processes: two cells in a domain own only their own endpoints, serve all, and take over within the cell.

--- a/ids.go
+++ b/ids.go
@@ -12,6 +12,26 @@
 // DomainID names a failure domain.
 type DomainID string
 
+// CellID names a part of a failure domain. Small failure domains are one cell
+// with an empty name.
+type CellID string
+
+// Place is where a VM stands. The entry VMs of a place own its endpoints. It
+// stays the same for the whole life of a VM.
+type Place struct {
+	Domain DomainID
+	Cell   CellID
+}
+
+// String returns the place's name: that of the failure domain, with the cell's
+// when it has one.
+func (pl Place) String() string {
+	if pl.Cell == "" {
+		return string(pl.Domain)
+	}
+	return string(pl.Domain) + "/" + string(pl.Cell)
+}
+
 // VMID names a VM.
 type VMID string
 
@@ -103,6 +123,7 @@
 type Endpoint struct {
 	ID            EndpointID   `json:"id"`
 	Domain        DomainID     `json:"domain"`
+	Cell          CellID       `json:"cell,omitempty"`
 	Kind          EndpointKind `json:"kind"`
 	Address       string       `json:"address"`                 // host:port
 	Model         ModelID      `json:"model,omitempty"`         // engines
@@ -115,15 +136,22 @@
 	State         VMState      `json:"state"`
 }
 
+// Place returns where the endpoint stands.
+func (ep Endpoint) Place() Place { return Place{ep.Domain, ep.Cell} }
+
 // EntryVM describes an entry VM as listed by the platform.
 type EntryVM struct {
 	ID           VMID     `json:"id"`
 	Domain       DomainID `json:"domain"`
+	Cell         CellID   `json:"cell,omitempty"`
 	PeerAddress  string   `json:"peerAddress"`  // host:port, calls between entry VMs
 	AdminAddress string   `json:"adminAddress"` // host:port, operators' interface
 	State        VMState  `json:"state"`
 }
 
+// Place returns where the entry VM stands.
+func (en EntryVM) Place() Place { return Place{en.Domain, en.Cell} }
+
 // VMs is the platform's list of VMs. It lags behind the truth.
 type VMs struct {
 	Entries   []EntryVM  `json:"entries"`
--- a/internal/adapter/streamer/reuse_test.go
+++ b/internal/adapter/streamer/reuse_test.go
@@ -28,7 +28,7 @@
 	opened := atomic.Int64{}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, _ *http.Request) {
-		fmt.Fprint(w, "data: {\"choices\":[{\"text\":\"a\",\"finish_reason\":\"length\"}]}\n\ndata: [DONE]\n\n")
+		fmt.Fprintf(w, "%s", "data: {\"choices\":[{\"text\":\"a\",\"finish_reason\":\"length\"}]}\n\ndata: [DONE]\n\n")
 		_ = http.NewResponseController(w).Flush()
 		time.Sleep(endLate)
 	})
--- a/internal/duty/follower/follower.go
+++ b/internal/duty/follower/follower.go
@@ -126,11 +126,11 @@
 	return held, fo.changed
 }
 
-// Lease returns the newest lease on a domain.
-func (fo *Follower) Lease(id ml.DomainID) (folder.Lease, bool) {
+// Lease returns the newest lease on a place.
+func (fo *Follower) Lease(pl ml.Place) (folder.Lease, bool) {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	return fo.folder.Lease(id)
+	return fo.folder.Lease(pl)
 }
 
 // State returns the fleet state to pass on to a neighbour, or nil.
--- a/internal/duty/gossiper/gossiper.go
+++ b/internal/duty/gossiper/gossiper.go
@@ -1,6 +1,6 @@
 // Package gossiper exchanges heartbeats with the other entry VMs: with those
-// of its own failure domain for the ownership of endpoints, with a few of the
-// others in turn for their endpoints' loads. Newer fleet state travels the
+// of its own cell (in small failure domains, the domain) for the ownership of
+// endpoints, with a few of the others in turn for their endpoints' loads. Newer fleet state travels the
 // same way, so that it reaches nodes which can't reach the platform.
 package gossiper
 
@@ -22,9 +22,18 @@
 	"github.com/mulberrylever/mulberrylever/internal/state/mutator"
 )
 
-// remoteFanout is the number of entry VMs of other domains that receive a
-// heartbeat in one round.
-const remoteFanout = 8
+const (
+	// fewRemotes is the number of entry VMs of other places up to which
+	// remoteFanout of them receive a heartbeat in one round.
+	fewRemotes   = 64
+	remoteFanout = 8
+	// manyFanout is the same for more of them: what a node hears is then a
+	// sample of the fleet, and the bytes stay bounded.
+	manyFanout = 2
+	// contactKept is the time for which an entry VM that the platform does
+	// not list is remembered after its last heartbeat.
+	contactKept = time.Minute
+)
 
 var (
 	heartbeats      = metrics.NewCounter("mulberrylever_heartbeats_sent_total")
@@ -46,17 +55,23 @@
 	mu       sync.Mutex
 	lessor   lessor.Lessor
 	table    *router.Table
-	book     map[ml.VMID]ml.EntryVM // addresses learnt from heartbeats
+	book     map[ml.VMID]contact
 	rotation int
 	busy     map[string]bool // peers with a heartbeat under way
 	ahead    map[ml.VMID]time.Duration
 }
 
+// contact is an entry VM as its last heartbeat told.
+type contact struct {
+	ml.EntryVM
+	heard time.Time
+}
+
 // New returns a gossiper that routes by table.
 func New(self ml.EntryVM, ti ml.Timing, ta *router.Table) *Gossiper {
 	return &Gossiper{
 		Self: self, Timing: ti, lessor: lessor.Lessor{Self: self.ID, Timing: ti},
-		table: ta, book: make(map[ml.VMID]ml.EntryVM), busy: make(map[string]bool), ahead: make(map[ml.VMID]time.Duration),
+		table: ta, book: make(map[ml.VMID]contact), busy: make(map[string]bool), ahead: make(map[ml.VMID]time.Duration),
 	}
 }
 
@@ -85,15 +100,15 @@
 	if gs.Leaving() {
 		gs.lessor.Leave()
 	}
-	gs.lessor.Watch(now, gs.domainEndpoints())
+	gs.lessor.Watch(now, gs.candidates())
 	gs.syncTable(now, loads)
-	targets := gs.targets()
+	targets := gs.targets(now)
 	for _, en := range targets {
 		gs.busy[en.PeerAddress] = true
 	}
 	gs.mu.Unlock()
 	hb := ml.Heartbeat{
-		From: gs.Self.ID, Domain: gs.Self.Domain, Address: gs.Self.PeerAddress, Leaving: gs.Leaving(),
+		From: gs.Self.ID, Domain: gs.Self.Domain, Cell: gs.Self.Cell, Address: gs.Self.PeerAddress, Leaving: gs.Leaving(),
 		Version: gs.Keeper.View().Fleet.Version, Loads: loads,
 	}
 	for _, en := range targets {
@@ -113,7 +128,7 @@
 	if err == nil {
 		gs.ahead[en.ID] = ack.Clock - gs.Clock.Read(sent)
 	}
-	if err == nil && en.Domain == gs.Self.Domain {
+	if err == nil && en.Place() == gs.Self.Place() {
 		gs.lessor.Acked(en.ID, sent)
 	}
 	gs.mu.Unlock()
@@ -150,8 +165,10 @@
 	now := time.Now()
 	gs.mu.Lock()
 	defer gs.mu.Unlock()
-	gs.book[hb.From] = ml.EntryVM{ID: hb.From, Domain: hb.Domain, PeerAddress: hb.Address, State: ml.StateLive}
-	if hb.Domain == gs.Self.Domain {
+	gs.book[hb.From] = contact{
+		EntryVM: ml.EntryVM{ID: hb.From, Domain: hb.Domain, Cell: hb.Cell, PeerAddress: hb.Address, State: ml.StateLive}, heard: now,
+	}
+	if hb.Place() == gs.Self.Place() {
 		gs.lessor.Heard(now, hb.From, hb.Leaving)
 	}
 	gs.updateTable(now, hb.From, hb.Loads)
@@ -179,20 +196,20 @@
 	return gs.lessor.MayGrant(now, ep)
 }
 
-// Owned returns the endpoints of this VM's domain that it may grant work for.
+// Owned returns the endpoints of this VM's place that it may grant work for.
 func (gs *Gossiper) Owned(now time.Time) []ml.Endpoint {
 	gs.mu.Lock()
 	defer gs.mu.Unlock()
 	out := []ml.Endpoint{}
-	for _, ep := range gs.Keeper.VMs().Endpoints {
-		if ep.Domain == gs.Self.Domain && gs.lessor.MayGrant(now, ep.ID) {
+	for _, ep := range gs.Keeper.EndpointsAt(gs.Self.Place()) {
+		if gs.lessor.MayGrant(now, ep.ID) {
 			out = append(out, ep)
 		}
 	}
 	return out
 }
 
-// Alive returns the live members of this VM's domain as it sees them.
+// Alive returns the live members of this VM's place as it sees them.
 func (gs *Gossiper) Alive(now time.Time) []ml.VMID {
 	gs.mu.Lock()
 	defer gs.mu.Unlock()
@@ -220,20 +237,21 @@
 	if en, found := gs.book[id]; found {
 		return en.PeerAddress
 	}
-	for _, en := range gs.Keeper.VMs().Entries {
-		if en.ID == id {
-			return en.PeerAddress
-		}
-	}
-	return ""
+	en, _ := gs.Keeper.Entry(id)
+	return en.PeerAddress
 }
 
-// targets returns the members of the own domain and a few others in turn. A
-// peer that still has a heartbeat under way is left out.
-func (gs *Gossiper) targets() []ml.EntryVM {
+// targets returns the members of the own place and a few others in turn. A
+// peer that still has a heartbeat under way is left out, and one that is not
+// listed and was not heard for long is forgotten.
+func (gs *Gossiper) targets(now time.Time) []ml.EntryVM {
 	known := make(map[ml.VMID]ml.EntryVM)
-	for id, en := range gs.book {
-		known[id] = en
+	for id, co := range gs.book {
+		if now.Sub(co.heard) > contactKept {
+			delete(gs.book, id)
+			continue
+		}
+		known[id] = co.EntryVM
 	}
 	for _, en := range gs.Keeper.VMs().Entries {
 		known[en.ID] = en
@@ -243,26 +261,29 @@
 	for _, en := range known {
 		switch {
 		case gs.busy[en.PeerAddress]:
-		case en.Domain == gs.Self.Domain:
+		case en.Place() == gs.Self.Place():
 			out = append(out, en)
 		default:
 			remote = append(remote, en)
 		}
 	}
 	sortByID(remote)
-	for i := range min(remoteFanout, len(remote)) {
+	fanout := min(remoteFanout, len(remote))
+	if len(remote) > fewRemotes {
+		fanout = manyFanout
+	}
+	for i := range fanout {
 		out = append(out, remote[(gs.rotation+i)%len(remote)])
 	}
-	gs.rotation += remoteFanout
+	gs.rotation += fanout
 	return out
 }
 
-func (gs *Gossiper) domainEndpoints() []ml.EndpointID {
+// candidates returns the endpoints that this VM may come to own.
+func (gs *Gossiper) candidates() []ml.EndpointID {
 	out := []ml.EndpointID{}
-	for _, ep := range gs.Keeper.VMs().Endpoints {
-		if ep.Domain == gs.Self.Domain {
-			out = append(out, ep.ID)
-		}
+	for _, ep := range gs.Keeper.EndpointsAt(gs.Self.Place()) {
+		out = append(out, ep.ID)
 	}
 	return out
 }
@@ -273,13 +294,10 @@
 	vi := gs.Keeper.View()
 	gs.table.Policy = router.ByName(vi.Config.Routing.Policy)
 	gs.table.Candidates = vi.Config.Routing.Candidates
-	listed := make(map[ml.EndpointID]bool)
-	for _, ep := range gs.Keeper.VMs().Endpoints {
-		if vi.InService(ep) == "" {
-			listed[ep.ID] = true
-		}
-	}
-	gs.table.Retain(func(id ml.EndpointID) bool { return listed[id] })
+	gs.table.Retain(func(id ml.EndpointID) bool {
+		ep, listed := gs.Keeper.Endpoint(id)
+		return listed && vi.InService(ep) == ""
+	})
 	gs.updateTable(now, gs.Self.ID, loads)
 }
 
--- a/internal/duty/planner/planner.go
+++ b/internal/duty/planner/planner.go
@@ -1,5 +1,5 @@
-// Package planner switches the engines of its failure domain on and off. One
-// planner per domain holds a lease in the log; the lease's offset is the
+// Package planner switches the engines of its place (a failure domain, or a
+// cell of a large one) on and off. One planner per place holds a lease in the log; the lease's offset is the
 // fencing number of its orders.
 package planner
 
@@ -43,7 +43,7 @@
 	Route(use func(ta *router.Table))
 }
 
-// Planner plans one failure domain.
+// Planner plans one place.
 type Planner struct {
 	Self     ml.EntryVM
 	Keeper   *keeper.Keeper
@@ -98,7 +98,7 @@
 // hold tells whether this VM holds the lease, and asks for it when it is free
 // or due to be renewed.
 func (pl *Planner) hold(ctx context.Context, now time.Time) bool {
-	le, found := pl.Follower.Lease(pl.Self.Domain)
+	le, found := pl.Follower.Lease(pl.Self.Place())
 	mine := found && le.Holder == pl.Self.ID
 	if mine && le.Fencing != pl.seen {
 		// It counts from when it was asked for, before the log took it.
@@ -114,7 +114,7 @@
 
 func (pl *Planner) ask(ctx context.Context, now time.Time) {
 	rec, err := folder.NewRecord("lease/"+uuid.NewString(), folder.KindLease, folder.Lease{
-		Domain: pl.Self.Domain, Holder: pl.Self.ID, TermMs: leaseTerm.Milliseconds(),
+		Place: pl.Self.Place().String(), Holder: pl.Self.ID, TermMs: leaseTerm.Milliseconds(),
 	})
 	if err != nil {
 		pl.Log.Error("encode lease", "error", err)
@@ -126,12 +126,12 @@
 	pl.Writer.Put(offer, rec)
 }
 
-// engines returns the domain's engines in service.
+// engines returns the engines of this VM's place that are in service.
 func (pl *Planner) engines(now time.Time) []scaler.Engine {
 	vi, out := pl.Keeper.View(), []scaler.Engine{}
 	pl.Routes.Route(func(ta *router.Table) {
-		for _, ep := range pl.Keeper.VMs().Endpoints {
-			if ep.Domain == pl.Self.Domain && ep.Kind == ml.KindEngine && vi.InService(ep) == "" {
+		for _, ep := range pl.Keeper.EndpointsAt(pl.Self.Place()) {
+			if ep.Kind == ml.KindEngine && vi.InService(ep) == "" {
 				lo, awake := ta.Load(now, ep.ID)
 				out = append(out, scaler.Engine{Endpoint: ep, Load: lo, Awake: awake})
 			}
--- /dev/null
+++ b/internal/proof/prover/cell_test.go
@@ -0,0 +1,51 @@
+package prover_test
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/administrator"
+	"github.com/mulberrylever/mulberrylever/internal/standin/generator"
+)
+
+// status returns what an entry VM says of itself.
+func (fl *fleet) status(en ml.EntryVM) administrator.Status {
+	st := administrator.Status{}
+	gomega.Expect(fl.get(en.AdminAddress, "/admin/status", &st)).To(gomega.Succeed())
+	return st
+}
+
+var _ = ginkgo.Describe("cells of a failure domain", func() {
+	ginkgo.It("own only their own endpoints, serve all, and take over within the cell", func() {
+		fl := startFleet(size{domains: 1, entries: 4, engines: 2, cells: 2}, "")
+		defer fl.stop()
+		cells := make(map[ml.EndpointID]ml.CellID)
+		for _, ep := range fl.file.VMs.Endpoints {
+			cells[ep.ID] = ep.Cell
+		}
+		for _, en := range fl.file.VMs.Entries {
+			st := fl.status(en)
+			gomega.Expect(st.Alive).To(gomega.HaveLen(2), "members that %s sends its heartbeats to", en.ID)
+			for _, ol := range st.Owned {
+				gomega.Expect(cells[ol.Endpoint]).To(gomega.Equal(en.Cell), "%s owns %s", en.ID, ol.Endpoint)
+			}
+		}
+		fl.plan.Prompts = []generator.Prompt{shorts}
+		used := make(map[string]int)
+		for _, rs := range fl.during(8*time.Second, 2*time.Second, func() { fl.kill("d1-entry1") }) {
+			gomega.Expect(rs.Outcome).To(gomega.Equal(generator.OK), rs.Message)
+			used[rs.Endpoint]++
+		}
+		gomega.Expect(used).To(gomega.HaveLen(2), "endpoints used")
+		owners := make(map[ml.EndpointID]ml.VMID)
+		for _, en := range fl.file.VMs.Entries[1:] {
+			for _, ol := range fl.status(en).Owned {
+				owners[ol.Endpoint] = en.ID
+			}
+		}
+		gomega.Expect(owners).To(gomega.HaveLen(2), "endpoints that have an owner")
+	})
+})
--- a/internal/proof/prover/fleet_test.go
+++ b/internal/proof/prover/fleet_test.go
@@ -46,6 +46,7 @@
 type size struct {
 	domains, entries, engines, services int  // the last three per domain
 	extraEntries, extraEngines          int  // in the first domains, one each
+	cells                               int  // of each domain; VMs are spread over them in turn
 	linked                              bool // connections of entry VMs pass a relay
 	encrypted                           bool // callers and entry VMs use TLS
 	writeTimeout                        time.Duration
@@ -86,6 +87,14 @@
 	return 0
 }
 
+// cell returns the cell of the i-th VM of a kind in a domain.
+func (si size) cell(i int) ml.CellID {
+	if si.cells == 0 {
+		return ""
+	}
+	return ml.CellID(fmt.Sprintf("c%d", i%si.cells+1))
+}
+
 // listed returns the address under which a process is listed: its own, or a
 // relay's.
 func (fl *fleet) listed(name string, next func() string) string {
@@ -151,6 +160,7 @@
 		for e := range si.entries + extra(d, si.extraEntries) {
 			se := loader.Default()
 			se.VM, se.Domain, se.Platform = ml.VMID(fmt.Sprintf("%s-entry%d", domain, e+1)), domain, fl.file.Platform.Address
+			se.Cell = si.cell(e)
 			se.CallerAddress, se.PeerAddress, se.AdminAddress = next(), next(), next()
 			se.PeerAdvertise = se.PeerAddress
 			if si.linked {
@@ -165,14 +175,14 @@
 			}
 			settings = append(settings, se)
 			fl.file.VMs.Entries = append(fl.file.VMs.Entries, ml.EntryVM{
-				ID: se.VM, Domain: domain, PeerAddress: se.PeerAdvertise, AdminAddress: se.AdminAddress,
+				ID: se.VM, Domain: domain, Cell: se.Cell, PeerAddress: se.PeerAdvertise, AdminAddress: se.AdminAddress,
 			})
 			fl.plan.Targets = append(fl.plan.Targets, generator.Target{Address: se.CallerAddress, Ready: se.AdminAddress})
 		}
 		for e := range si.engines + extra(d, si.extraEngines) {
 			id := fmt.Sprintf("%s-engine%d", domain, e+1)
 			fl.file.VMs.Endpoints = append(fl.file.VMs.Endpoints, ml.Endpoint{
-				ID: ml.EndpointID(id), Domain: domain, Kind: ml.KindEngine, Address: fl.listed(id, next),
+				ID: ml.EndpointID(id), Domain: domain, Cell: si.cell(e), Kind: ml.KindEngine, Address: fl.listed(id, next),
 				Model: "m", Memory: 400_000, MaxRequests: 32, ColdRequests: 2, ColdTokens: 16_000,
 			})
 		}
--- a/internal/setting/loader/loader.go
+++ b/internal/setting/loader/loader.go
@@ -39,6 +39,7 @@
 type Settings struct {
 	VM              ml.VMID     `json:"vm"`
 	Domain          ml.DomainID `json:"domain"`
+	Cell            ml.CellID   `json:"cell"`          // part of a large failure domain; empty when it has one
 	CallerAddress   string      `json:"callerAddress"` // host:port for callers
 	PeerAddress     string      `json:"peerAddress"`   // host:port for other entry VMs
 	PeerAdvertise   string      `json:"peerAdvertise"` // host:port told to other entry VMs; peerAddress when empty
--- a/internal/standin/comparer/comparer.go
+++ b/internal/standin/comparer/comparer.go
@@ -137,7 +137,7 @@
 // writeTable writes the 95th percentiles of all policies.
 func (co *Comparer) writeTable(w io.Writer) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprint(tw, "TTFT p95 ms\tsent\t")
+	fmt.Fprintf(tw, "%s", "TTFT p95 ms\tsent\t")
 	for _, policy := range policies() {
 		fmt.Fprintf(tw, "%s\t", policy)
 	}
--- a/internal/standin/measurer/measurer.go
+++ b/internal/standin/measurer/measurer.go
@@ -18,6 +18,7 @@
 	"github.com/mulberrylever/mulberrylever/internal/setting/configurer"
 	"github.com/mulberrylever/mulberrylever/internal/state/burner"
 	"github.com/mulberrylever/mulberrylever/internal/state/folder"
+	"github.com/mulberrylever/mulberrylever/internal/state/keeper"
 )
 
 // Slope is one measured quantity.
@@ -65,6 +66,7 @@
 	return []Slope{
 		over("heartbeat by endpoints owned", "bytes", few, func(n int) float64 { return encoded(heartbeat(n)) }),
 		over("heartbeat, encode and decode, by endpoints owned", "us", few, codec),
+		over("heartbeat sent and answered, by endpoints owned", "bytes", few, exchange),
 		over("list of VMs by endpoints", "bytes", fleet, func(n int) float64 { return encoded(list(n)) }),
 		over("list of VMs, decode, by endpoints", "us", fleet, decodeList),
 		over("routing table by endpoints", "bytes", fleet, func(n int) float64 { return held(func() any { return table(n) }) }),
@@ -73,7 +75,8 @@
 		over("fleet state by exceptions", "bytes", []int{1, 20, 200}, func(n int) float64 { return encoded(state(n)) }),
 		over("claims by keys kept", "bytes", []int{1000, 10_000, 50_000}, func(n int) float64 { return held(func() any { return claims(n) }) }),
 		over("fold of one claim, by keys kept", "us", []int{1000, 10_000, 50_000}, foldClaim),
-		over("counts of objectives by teams", "bytes", []int{10, 140, 1400}, func(n int) float64 { return held(func() any { return counts(n) }) }),
+		over("counts of objectives, three days, by teams seen in a quarter of an hour", "bytes", []int{10, 100, 1000}, func(n int) float64 { return held(func() any { return counts(n) }) }),
+		over("keeping of the list of VMs when one has changed, by endpoints", "us", fleet, keep),
 	}
 }
 
@@ -134,6 +137,25 @@
 	return hb
 }
 
+// exchange returns the bytes of a heartbeat and its answer with what JSON-RPC
+// adds to them.
+func exchange(n int) float64 {
+	const version = "2.0"
+	call := struct {
+		Version string       `json:"jsonrpc"`
+		Method  string       `json:"method"`
+		ID      uint64       `json:"id"`
+		Params  ml.Heartbeat `json:"params"`
+	}{version, "heartbeat", 123_456, heartbeat(n)}
+	answer := struct {
+		Version string          `json:"jsonrpc"`
+		ID      uint64          `json:"id"`
+		Result  ml.HeartbeatAck `json:"result"`
+	}{version, 123_456, ml.HeartbeatAck{Version: 123_456_789, Clock: time.Hour}}
+	const lengthBytes = 2 // before each message
+	return encoded(call) + encoded(answer) + 2*lengthBytes
+}
+
 func codec(n int) float64 {
 	hb := heartbeat(n)
 	return micros(5000, func() {
@@ -243,15 +265,24 @@
 	})
 }
 
+// counts counts for as many teams in each quarter of an hour of three days.
 func counts(teams int) *burner.Burner {
 	bu := &burner.Burner{}
-	now := time.Now()
-	for i := range teams {
-		for le := range ml.Length(ml.Lengths) {
-			for _, ob := range []burner.Objective{burner.TTFT, burner.Between, burner.Success} {
-				bu.Add(now, burner.Key{Objective: ob, Team: ml.TeamID(fmt.Sprintf("team-%04d", i)), Domain: "d", Length: le.String()}, true)
+	const quarter, days = 15 * time.Minute, 3
+	start := time.Unix(1_700_000_000, 0)
+	for at := time.Duration(0); at < days*24*time.Hour; at += quarter {
+		for i := range teams {
+			ke := burner.Key{Team: ml.TeamID(fmt.Sprintf("team-%04d", i)), Domain: "region-1-domain-3", Length: ml.Length(i % ml.Lengths).String()}
+			for _, ke.Objective = range []burner.Objective{burner.TTFT, burner.Between, burner.Success} {
+				bu.Add(start.Add(at), ke, true)
 			}
 		}
 	}
 	return bu
 }
+
+// keep returns the time for taking over a list in which a VM has changed.
+func keep(n int) float64 {
+	ke, vms := &keeper.Keeper{}, list(n)
+	return micros(20, func() { ke.SetVMs(vms) })
+}
--- a/internal/state/folder/folder.go
+++ b/internal/state/folder/folder.go
@@ -20,7 +20,7 @@
 	next    ml.Offset   // where to read on
 	gap     bool        // records were lost to retention before they were read
 	claims  claims
-	leases  map[ml.DomainID]Lease
+	leases  map[string]Lease // by place
 }
 
 // Fleet returns the operators' state, or nil before enough was read.
@@ -29,9 +29,9 @@
 // Next returns the offset to read on from.
 func (fo *Folder) Next() ml.Offset { return fo.next }
 
-// Lease returns the newest lease on a domain.
-func (fo *Folder) Lease(id ml.DomainID) (Lease, bool) {
-	le, found := fo.leases[id]
+// Lease returns the newest lease on a place.
+func (fo *Folder) Lease(pl ml.Place) (Lease, bool) {
+	le, found := fo.leases[pl.String()]
 	return le, found
 }
 
@@ -151,14 +151,14 @@
 // time, or is held by the same holder.
 func (fo *Folder) lease(re ml.Record, le Lease) {
 	if fo.leases == nil {
-		fo.leases = make(map[ml.DomainID]Lease)
+		fo.leases = make(map[string]Lease)
 	}
-	old, held := fo.leases[le.Domain]
+	old, held := fo.leases[le.Place]
 	if held && old.Holder != le.Holder && re.Time.Before(old.At.Add(time.Duration(old.TermMs)*time.Millisecond)) {
 		return
 	}
 	le.At, le.Fencing = re.Time, ml.FencingNumber(re.Offset)
-	fo.leases[le.Domain] = le
+	fo.leases[le.Place] = le
 }
 
 // decode reads a record's body. A body that no reader understands has no
--- a/internal/state/folder/folder_test.go
+++ b/internal/state/folder/folder_test.go
@@ -76,7 +76,7 @@
 	case 6:
 		hi.append(t, id, folder.KindResult, folder.Result{Key: key, Attempt: attempt, Outcome: folder.ClaimFinished})
 	case 7:
-		hi.append(t, id, folder.KindLease, folder.Lease{Domain: "d", Holder: ml.VMID(attempt), TermMs: 3000})
+		hi.append(t, id, folder.KindLease, folder.Lease{Place: "d", Holder: ml.VMID(attempt), TermMs: 3000})
 	case 8:
 		hi.append(t, id, folder.KindSnapshot, hi.reader.Share())
 	}
@@ -96,7 +96,7 @@
 		claim, _ := json.Marshal(fo.Claim(fmt.Sprintf("k%d", i)))
 		out += "\n" + string(claim)
 	}
-	lease, _ := fo.Lease("d")
+	lease, _ := fo.Lease(ml.Place{Domain: "d"})
 	return out + fmt.Sprint("\n", lease)
 }
 
--- a/internal/state/folder/record.go
+++ b/internal/state/folder/record.go
@@ -137,7 +137,7 @@
 // Lease is a planner's lease on a failure domain. The record's offset is its
 // fencing number.
 type Lease struct {
-	Domain  ml.DomainID      `json:"domain"`
+	Place   string           `json:"place"` // what is planned, from ml.Place
 	Holder  ml.VMID          `json:"holder"`
 	TermMs  int64            `json:"termMs"`
 	Fencing ml.FencingNumber `json:"fencing"`
--- a/internal/state/keeper/keeper.go
+++ b/internal/state/keeper/keeper.go
@@ -3,7 +3,6 @@
 package keeper
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,7 +28,16 @@
 
 	mu   sync.Mutex // held by writers
 	view atomic.Pointer[View]
-	vms  atomic.Pointer[ml.VMs]
+	vms  atomic.Pointer[listing]
+}
+
+// listing is the list of VMs with what is looked up in it. It never changes
+// once it was made.
+type listing struct {
+	vms       ml.VMs
+	entries   map[ml.VMID]ml.EntryVM
+	endpoints map[ml.EndpointID]ml.Endpoint
+	places    map[ml.Place][]ml.Endpoint
 }
 
 // View returns the operators' state. Before any was read it is the built-in
@@ -65,14 +73,31 @@
 
 // VMs returns the newest list of VMs.
 func (ke *Keeper) VMs() ml.VMs {
-	if vms := ke.vms.Load(); vms != nil {
-		return *vms
+	return ke.listing().vms
+}
+
+func (ke *Keeper) listing() *listing {
+	if li := ke.vms.Load(); li != nil {
+		return li
 	}
-	return ml.VMs{}
+	return &listing{}
 }
 
 // SetVMs replaces the list of VMs.
-func (ke *Keeper) SetVMs(vms ml.VMs) { ke.vms.Store(&vms) }
+func (ke *Keeper) SetVMs(vms ml.VMs) {
+	li := &listing{
+		vms: vms, entries: make(map[ml.VMID]ml.EntryVM, len(vms.Entries)),
+		endpoints: make(map[ml.EndpointID]ml.Endpoint, len(vms.Endpoints)), places: make(map[ml.Place][]ml.Endpoint),
+	}
+	for _, en := range vms.Entries {
+		li.entries[en.ID] = en
+	}
+	for _, ep := range vms.Endpoints {
+		li.endpoints[ep.ID] = ep
+		li.places[ep.Place()] = append(li.places[ep.Place()], ep)
+	}
+	ke.vms.Store(li)
+}
 
 // InService tells whether an endpoint may be given new work. The reason is
 // empty when it may.
@@ -90,10 +115,16 @@
 
 // Endpoint returns the listed endpoint with an id.
 func (ke *Keeper) Endpoint(id ml.EndpointID) (ml.Endpoint, bool) {
-	eps := ke.VMs().Endpoints
-	i := slices.IndexFunc(eps, func(ep ml.Endpoint) bool { return ep.ID == id })
-	if i < 0 {
-		return ml.Endpoint{}, false
-	}
-	return eps[i], true
+	ep, found := ke.listing().endpoints[id]
+	return ep, found
 }
+
+// Entry returns the listed entry VM with an id.
+func (ke *Keeper) Entry(id ml.VMID) (ml.EntryVM, bool) {
+	en, found := ke.listing().entries[id]
+	return en, found
+}
+
+// EndpointsAt returns the listed endpoints of a place. The caller must not
+// change them.
+func (ke *Keeper) EndpointsAt(pl ml.Place) []ml.Endpoint { return ke.listing().places[pl] }
--- a/messages.go
+++ b/messages.go
@@ -42,12 +42,16 @@
 type Heartbeat struct {
 	From    VMID        `json:"from"`
 	Domain  DomainID    `json:"domain"`
+	Cell    CellID      `json:"cell,omitempty"`
 	Address string      `json:"address"` // the sender's peer address
 	Leaving bool        `json:"leaving,omitempty"`
 	Version Version     `json:"version"` // of the configuration in force at the sender
 	Loads   []OwnedLoad `json:"loads,omitempty"`
 }
 
+// Place returns where the sender stands.
+func (hb Heartbeat) Place() Place { return Place{hb.Domain, hb.Cell} }
+
 // HeartbeatAck answers a heartbeat.
 type HeartbeatAck struct {
 	Version Version       `json:"version"`
