--- /dev/null
+++ b/internal/command/server/peer.go
@@ -0,0 +1,65 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/setting/loader"
+)
+
+// handler answers other entry VMs.
+type handler struct{ se *Server }
+
+// OnHeartbeat implements ml.PeerHandler.
+func (ha handler) OnHeartbeat(hb ml.Heartbeat) ml.HeartbeatAck { return ha.se.gossiper.OnHeartbeat(hb) }
+
+// OnReserve implements ml.PeerHandler.
+func (ha handler) OnReserve(ctx context.Context, re ml.Reservation) ml.Grant {
+	return ha.se.owner.OnReserve(ctx, re)
+}
+
+// OnTell implements ml.PeerHandler.
+func (ha handler) OnTell(news []ml.GrantNews) { ha.se.owner.OnTell(news) }
+
+// OnState implements ml.PeerHandler.
+func (ha handler) OnState() (ml.NodeState, error) {
+	fl := ha.se.follower.State()
+	if fl == nil {
+		return ml.NodeState{}, errors.New("this VM has no state yet")
+	}
+	data, err := json.Marshal(fl)
+	if err != nil {
+		return ml.NodeState{}, fmt.Errorf("encode state: %w", err)
+	}
+	return ml.NodeState{Fleet: data, VMs: ha.se.keeper.VMs()}, nil
+}
+
+// peerTLS returns the configuration for connections between entry VMs, or nil
+// for plain TCP. Both sides show a certificate of the same authority.
+func peerTLS(tl loader.TLS) (*tls.Config, error) {
+	if tl.CertFile == "" {
+		return nil, nil //nolint:nilnil // nil is plain TCP
+	}
+	cert, err := tls.LoadX509KeyPair(tl.CertFile, tl.KeyFile)
+	if err != nil {
+		return nil, fmt.Errorf("load certificate: %w", err)
+	}
+	pem, err := os.ReadFile(tl.CAFile)
+	if err != nil {
+		return nil, fmt.Errorf("read authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("no certificate in %q", tl.CAFile)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert}, RootCAs: pool, ClientCAs: pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}, nil
+}
--- a/internal/command/server/server.go
+++ b/internal/command/server/server.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -45,7 +43,6 @@
 	"github.com/mulberrylever/mulberrylever/internal/setting/loader"
 	"github.com/mulberrylever/mulberrylever/internal/state/auditor"
 	"github.com/mulberrylever/mulberrylever/internal/state/burner"
-	"github.com/mulberrylever/mulberrylever/internal/state/folder"
 	"github.com/mulberrylever/mulberrylever/internal/state/keeper"
 	"github.com/mulberrylever/mulberrylever/internal/state/mutator"
 )
@@ -270,120 +267,3 @@
 		"stopped with %d requests under way: %v", se.admitter.InFlight(), err)
 	return errStopped
 }
-
-// status is what this VM says of itself.
-func (se *Server) status(now time.Time) administrator.Status {
-	st := administrator.Status{
-		VM: se.Settings.VM, Domain: se.Settings.Domain, Release: se.Release, Version: se.keeper.View().Fleet.Version,
-		LogHealthy: se.follower.Healthy(now), InFlight: se.admitter.InFlight(), Grants: se.holder.InUse(),
-		Alive: se.gossiper.Alive(now), Owned: se.owner.Loads(now), Alerts: se.observer.alerts(now),
-	}
-	st.Why = se.notReady(now)
-	st.Ready = st.Why == ""
-	return st
-}
-
-func (se *Server) notReady(now time.Time) string {
-	vi := se.keeper.View()
-	switch {
-	case se.leaving.Load():
-		return "this VM is stopping"
-	case !se.keeper.Known():
-		return "neither the platform nor a neighbour has told configuration and VMs"
-	case vi.Fleet.VMIsOut(string(se.Settings.VM)):
-		return "this VM is out of service"
-	case vi.Fleet.DomainIsOut(se.Settings.Domain):
-		return "this failure domain is out of service"
-	case se.gossiper.Observing(now):
-		return "this VM does not know its failure domain yet"
-	case now.Sub(se.started) < settleTime && !se.routesKnown():
-		return "this VM does not know the endpoints' loads yet"
-	}
-	return ""
-}
-
-// settleTime is the time after the start within which this VM waits to hear of
-// endpoints for everything that is listed.
-const settleTime = 6 * time.Second
-
-// routesKnown tells whether an endpoint was heard of for every model and
-// service that is listed in service.
-func (se *Server) routesKnown() bool {
-	vi, known := se.keeper.View(), true
-	se.gossiper.Route(func(ta *router.Table) {
-		for _, ep := range se.keeper.VMs().Endpoints {
-			if vi.InService(ep) == "" && !ta.Serves(ep.Model, ep.Service) {
-				known = false
-			}
-		}
-	})
-	return known
-}
-
-func (se *Server) fleet() *folder.Fleet { return se.keeper.View().Fleet }
-
-func (se *Server) models() []ml.ModelID {
-	out := []ml.ModelID{}
-	se.gossiper.Route(func(ta *router.Table) { out = ta.Models() })
-	return out
-}
-
-// handler answers other entry VMs.
-type handler struct{ se *Server }
-
-// OnHeartbeat implements ml.PeerHandler.
-func (ha handler) OnHeartbeat(hb ml.Heartbeat) ml.HeartbeatAck { return ha.se.gossiper.OnHeartbeat(hb) }
-
-// OnReserve implements ml.PeerHandler.
-func (ha handler) OnReserve(ctx context.Context, re ml.Reservation) ml.Grant {
-	return ha.se.owner.OnReserve(ctx, re)
-}
-
-// OnTell implements ml.PeerHandler.
-func (ha handler) OnTell(news []ml.GrantNews) { ha.se.owner.OnTell(news) }
-
-// OnState implements ml.PeerHandler.
-func (ha handler) OnState() (ml.NodeState, error) {
-	fl := ha.se.follower.State()
-	if fl == nil {
-		return ml.NodeState{}, errors.New("this VM has no state yet")
-	}
-	data, err := json.Marshal(fl)
-	if err != nil {
-		return ml.NodeState{}, fmt.Errorf("encode state: %w", err)
-	}
-	return ml.NodeState{Fleet: data, VMs: ha.se.keeper.VMs()}, nil
-}
-
-// peerTLS returns the configuration for connections between entry VMs, or nil
-// for plain TCP. Both sides show a certificate of the same authority.
-func peerTLS(tl loader.TLS) (*tls.Config, error) {
-	if tl.CertFile == "" {
-		return nil, nil //nolint:nilnil // nil is plain TCP
-	}
-	cert, err := tls.LoadX509KeyPair(tl.CertFile, tl.KeyFile)
-	if err != nil {
-		return nil, fmt.Errorf("load certificate: %w", err)
-	}
-	pem, err := os.ReadFile(tl.CAFile)
-	if err != nil {
-		return nil, fmt.Errorf("read authority: %w", err)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, fmt.Errorf("no certificate in %q", tl.CAFile)
-	}
-	return &tls.Config{
-		Certificates: []tls.Certificate{cert}, RootCAs: pool, ClientCAs: pool,
-		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
-	}, nil
-}
-
-// burn returns what this VM has counted against the objectives.
-func (se *Server) burn(now time.Time) any {
-	sn, err := se.observer.burner.Snapshot(now)
-	if err != nil {
-		se.Log.Error("count burn", "error", err)
-	}
-	return sn
-}
--- a/internal/decision/granter/granter.go
+++ b/internal/decision/granter/granter.go
@@ -56,20 +56,6 @@
 // Error implements the error interface.
 func (re *Refused) Error() string { return fmt.Sprintf("endpoint %q: %s", re.Endpoint, re.Reason) }
 
-// hold is a grant that is not yet known to have ended.
-type hold struct {
-	ask       Ask
-	granted   time.Time
-	confirmed bool      // accepted by the endpoint
-	accepted  time.Time // when its holder told so
-	before    ml.Tokens // prompt tokens ahead of it then, with its own
-	prefill   ml.Tokens // prompt tokens still to be processed
-	kept      time.Time // when the holder last answered for it
-	missing   int       // reports in a row that did not list it
-	overdue   int       // reports in a row that listed it though nobody answers for it
-	adopted   bool      // found at the engine after a change of owner
-}
-
 // Granter counts what one endpoint has been given. It is not safe for
 // concurrent use.
 type Granter struct {
@@ -150,120 +136,6 @@
 	}
 }
 
-// Confirm records that the endpoint accepted the request.
-func (gr *Granter) Confirm(now time.Time, id ml.GrantID, in ml.Incarnation) {
-	gr.Limiter.Saw(in)
-	if ho := gr.holds[id]; ho != nil {
-		ho.confirmed = true
-		ho.kept, ho.accepted = now, now
-		ho.before = gr.prefillBefore(ho.ask.Length)
-	}
-}
-
-// Started records that the first token came: the prompt is processed. The time
-// that this took tells how fast the engine processes prompts in its batch.
-func (gr *Granter) Started(now time.Time, id ml.GrantID) {
-	ho := gr.holds[id]
-	if ho == nil || ho.prefill == 0 {
-		return
-	}
-	ho.prefill = 0
-	ho.kept = now
-	took := now.Sub(ho.accepted).Seconds()
-	if ho.accepted.IsZero() || ho.before < minSample || took <= 0 {
-		return
-	}
-	const old, fresh = 0.9, 0.1 // weights of the moving average
-	gr.rate = min(old*gr.rate+fresh*float64(ho.before)/took, gr.reportedRate)
-}
-
-// Keep records that the holder still answers for a grant. A grant of an
-// earlier owner is counted from now on.
-func (gr *Granter) Keep(now time.Time, id ml.GrantID) {
-	ho := gr.holds[id]
-	if ho == nil {
-		ho = gr.adopt(now, ml.Hold{ID: id, Kind: "stream"})
-	}
-	ho.kept = now
-}
-
-// Release ends a grant.
-func (gr *Granter) Release(now time.Time, id ml.GrantID, ou ml.GrantOutcome) {
-	ho := gr.holds[id]
-	switch ou {
-	case ml.Completed:
-		gr.Limiter.Succeeded(now)
-	case ml.Broken:
-		gr.Limiter.Failed()
-	case ml.Cancelled, ml.Unsent:
-	}
-	if ho == nil {
-		return
-	}
-	if ou == ml.Completed && !ho.ask.Member {
-		const old, fresh = 0.8, 0.2 // weights of the moving average
-		gr.service = time.Duration(old*float64(gr.service) + fresh*float64(now.Sub(ho.granted)))
-	}
-	if ou == ml.Broken || ou == ml.Cancelled {
-		// The engine's next reports show whether it is really gone.
-		ho.confirmed = true
-		ho.kept = time.Time{}
-		return
-	}
-	delete(gr.holds, id)
-}
-
-// Reconcile compares the engine's own list with the grants. It returns the
-// holds to cancel at the engine, since nobody answers for them. A grant that
-// two reports in a row do not list has ended.
-func (gr *Granter) Reconcile(now time.Time, re ml.EngineReport) []ml.GrantID {
-	if re.Incarnation != gr.incarnation() {
-		gr.Limiter.Saw(re.Incarnation)
-	}
-	cancel := []ml.GrantID{}
-	listed := make(map[ml.GrantID]bool, len(re.Holds))
-	for _, eh := range re.Holds {
-		listed[eh.ID] = true
-		ho := gr.holds[eh.ID]
-		if ho == nil {
-			ho = gr.adopt(now, eh)
-		}
-		ho.missing = 0
-		ho.confirmed = true
-		ho.prefill = eh.Prefill
-		if gr.abandoned(now, ho) {
-			cancel = append(cancel, eh.ID)
-			ho.overdue++
-		} else {
-			ho.overdue = 0
-		}
-	}
-	for id, ho := range gr.holds {
-		if !listed[id] && now.Sub(ho.granted) > gr.Timing.GrantTerm+gr.Timing.Margin {
-			ho.missing++
-		}
-		if ho.missing >= 2 {
-			delete(gr.holds, id)
-		}
-	}
-	return cancel
-}
-
-// maxOverdue is the number of reports in a row after which a hold that nobody
-// answers for counts as lost memory.
-const maxOverdue = 20
-
-// Lost returns a hold that the endpoint keeps although it should have been
-// cancelled long ago. The second result is false when there is none.
-func (gr *Granter) Lost() (ml.GrantID, bool) {
-	for id, ho := range gr.holds {
-		if ho.overdue > maxOverdue {
-			return id, true
-		}
-	}
-	return "", false
-}
-
 // Load returns the endpoint's load at now.
 func (gr *Granter) Load(now time.Time) ml.EndpointLoad {
 	lo := ml.EndpointLoad{
@@ -282,37 +154,6 @@
 	return lo
 }
 
-// Lapse ends the grants of an endpoint that has no list of what it runs: those
-// never confirmed, and those whose holder no longer answers for them.
-func (gr *Granter) Lapse(now time.Time) {
-	for id, ho := range gr.holds {
-		unused := !ho.confirmed && now.Sub(ho.granted) > gr.Timing.GrantTerm+gr.Timing.Margin
-		if unused || now.Sub(ho.kept) > keepTerm {
-			delete(gr.holds, id)
-		}
-	}
-}
-
-// Reported records the engine's load report.
-func (gr *Granter) Reported(now time.Time, lo ml.EngineLoad) {
-	gr.Limiter.Reported(now, lo)
-	if lo.PrefillRate > 0 && lo.PrefillRate != gr.reportedRate {
-		gr.rate, gr.reportedRate = lo.PrefillRate, lo.PrefillRate
-	}
-}
-
-// Carried returns the requests and unprocessed prompt tokens given to the
-// endpoint.
-func (gr *Granter) Carried() (requests int, prefill ml.Tokens) {
-	for _, ho := range gr.holds {
-		if !ho.ask.Member {
-			requests++
-			prefill += ho.prefill
-		}
-	}
-	return requests, prefill
-}
-
 // Idle tells whether the endpoint has nothing to do.
 func (gr *Granter) Idle() bool { return len(gr.holds) == 0 && gr.queue.len() == 0 }
 
@@ -352,25 +193,6 @@
 	return memory <= gr.Endpoint.Memory
 }
 
-// abandoned tells whether nobody answers for a hold any more.
-func (gr *Granter) abandoned(now time.Time, ho *hold) bool {
-	late := !ho.ask.Deadline.IsZero() && now.After(ho.ask.Deadline.Add(keepTerm))
-	return late || now.Sub(ho.kept) > keepTerm
-}
-
-func (gr *Granter) adopt(now time.Time, eh ml.Hold) *hold {
-	length := ml.Short
-	if eh.Prefill > gr.Endpoint.ColdTokens {
-		length = ml.Long
-	}
-	ho := &hold{
-		ask:     Ask{ID: eh.ID, Memory: eh.Tokens, Length: length, Member: eh.Kind != "stream"},
-		granted: now, kept: now, prefill: eh.Prefill, confirmed: true, adopted: true,
-	}
-	gr.holds[eh.ID] = ho
-	return ho
-}
-
 // ahead returns the prompt tokens, granted and waiting, that are processed
 // before a new prompt of the given length.
 func (gr *Granter) ahead(le ml.Length) ml.Tokens {
@@ -378,18 +200,6 @@
 	return waiting + gr.prefillBefore(le)
 }
 
-// prefillBefore returns the granted prompt tokens that an engine processes
-// before a new prompt of the given length.
-func (gr *Granter) prefillBefore(le ml.Length) ml.Tokens {
-	sum := ml.Tokens(0)
-	for _, ho := range gr.holds {
-		if ho.ask.Length <= le {
-			sum += ho.prefill
-		}
-	}
-	return sum
-}
-
 func (gr *Granter) incarnation() ml.Incarnation { return gr.Limiter.Incarnation() }
 
 func (gr *Granter) refuse(after time.Duration, format string, args ...any) error {
--- a/internal/decision/router/table.go
+++ b/internal/decision/router/table.go
@@ -1,13 +1,10 @@
 package router
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	ml "github.com/mulberrylever/mulberrylever"
 )
 
@@ -19,20 +16,8 @@
 	maxSeen = 8192
 	// PrefixTokens is the size of the block that prefixes are compared by.
 	PrefixTokens ml.Tokens = 1024
-	// longSetInterval is the time between two computations of the sets.
-	longSetInterval = time.Second
 )
 
-// group holds the endpoints that serve one model or service.
-type group struct {
-	all    []*Candidate
-	own    []*Candidate // those that this VM owns
-	turn   int          // place of the endpoint that was chosen last in turn
-	long   int          // how many at the end of all take long prompts
-	counts [2]float64
-	sized  time.Time
-}
-
 // Table holds the candidates. It is not safe for concurrent use.
 type Table struct {
 	Self       ml.VMID
@@ -213,111 +198,6 @@
 	return out
 }
 
-// sample returns a few fresh candidates: the next in turn, or at random, half
-// of them from the set for the request's length. Likely ones are the home of
-// the prefix and one that this VM owns.
-func (ta *Table) sample(now time.Time, re Request, gp *group, home *Candidate, avoid []ml.EndpointID) []*Candidate {
-	out := make([]*Candidate, 0, ta.Candidates)
-	add := func(ca *Candidate) {
-		if len(out) < ta.Candidates && usable(now, re, ca, avoid) && !slices.Contains(out, ca) {
-			out = append(out, ca)
-		}
-	}
-	set := gp.set(re.Length)
-	switch ta.Policy.Sampling() {
-	case Any:
-	case InTurn:
-		for i := 0; i < len(set) && len(out) == 0; i++ {
-			gp.turn++
-			add(set[gp.turn%len(set)])
-		}
-		return out
-	case Likely:
-		if re.cacheAt != "" {
-			add(home)
-		}
-		if len(gp.own) > 0 {
-			add(gp.own[ta.rng.IntN(len(gp.own))])
-		}
-	}
-	tries, half := 4*ta.Candidates, (ta.Candidates+1)/2
-	for i := 0; i < tries && len(out) < half; i++ {
-		add(set[ta.rng.IntN(len(set))])
-	}
-	for i := 0; i < tries && len(out) < ta.Candidates; i++ {
-		add(gp.all[ta.rng.IntN(len(gp.all))])
-	}
-	if len(out) > 0 {
-		return out
-	}
-	// Few are usable: go through a bounded run of them.
-	const maxRun = 64
-	start := ta.rng.IntN(len(gp.all))
-	for i := range min(len(gp.all), maxRun) {
-		add(gp.all[(start+i)%len(gp.all)])
-	}
-	return out
-}
-
-func usable(now time.Time, re Request, ca *Candidate, avoid []ml.EndpointID) bool {
-	if now.Sub(ca.Heard) >= staleAfter || (ca.Endpoint.Kind == ml.KindEngine && re.Memory > ca.Endpoint.Memory) {
-		return false
-	}
-	return !slices.Contains(avoid, ca.Endpoint.ID)
-}
-
-// insert keeps the endpoints in the order of the hashes of their ids, so that
-// all entry VMs agree on the sets and each set is spread over the domains.
-func (gp *group) insert(ca *Candidate, id ml.EndpointID) {
-	ca.order = xxhash.Sum64String(string(id))
-	at, _ := slices.BinarySearchFunc(gp.all, ca.order, func(other *Candidate, order uint64) int {
-		return cmp.Compare(other.order, order)
-	})
-	gp.all = slices.Insert(gp.all, at, ca)
-}
-
-// setOwn records whether this VM owns an endpoint.
-func (gp *group) setOwn(ca *Candidate, owned bool) {
-	gp.own = slices.DeleteFunc(gp.own, func(other *Candidate) bool { return other == ca })
-	if owned {
-		gp.own = append(gp.own, ca)
-	}
-}
-
-// home returns the endpoint where prompts with a prefix gather, so that they
-// find it in the cache. All entry VMs agree on it without a message.
-func (gp *group) home(re Request) *Candidate {
-	set := gp.set(re.Length)
-	at, _ := slices.BinarySearchFunc(set, re.Prefix, func(ca *Candidate, prefix uint64) int {
-		return cmp.Compare(ca.order, prefix)
-	})
-	return set[at%len(set)]
-}
-
-// longFrom returns the place of the first endpoint for long prompts, or zero
-// when there is no such set.
-func (gp *group) longFrom() uint64 {
-	if gp.long == 0 || gp.long >= len(gp.all) {
-		return 0
-	}
-	return gp.all[len(gp.all)-gp.long].order
-}
-
-// set returns the endpoints for a length: long prompts gather at the end and
-// medium ones before them. Short ones may go to all, since engines process
-// them first.
-func (gp *group) set(le ml.Length) []*Candidate {
-	from := len(gp.all) - gp.long
-	switch {
-	case gp.long == 0 || from <= 0 || le == ml.Short:
-		return gp.all
-	case le >= ml.Long:
-		return gp.all[from:]
-	default:
-		return gp.all[:from]
-	}
-}
-
 // count keeps decaying sums of the prompt tokens by kind of length.
 func (ta *Table) count(gp *group, re Request) {
 	i := 0
@@ -327,26 +207,6 @@
 	gp.counts[i] += float64(re.Prompt)
 }
 
-// resize sets how many endpoints take long prompts by their share of the
-// work.
-func (gp *group) resize(now time.Time) {
-	if now.Sub(gp.sized) < longSetInterval {
-		return
-	}
-	gp.sized = now
-	const decay = 0.9
-	gp.counts[0] *= decay
-	gp.counts[1] *= decay
-	all := gp.counts[0] + gp.counts[1]
-	n := len(gp.all)
-	if n < 2 || gp.counts[1] == 0 || all == 0 {
-		gp.long = 0
-		return
-	}
-	want := int(float64(n)*gp.counts[1]/all + 0.5)
-	gp.long = min(max(want, 1), n-1)
-}
-
 // remember records a prefix. When there are too many, any other is forgotten.
 func (ta *Table) remember(prefix uint64) {
 	if prefix == 0 || ta.seen[prefix] {
