feat: operators' reading commands work while the platform is down

They now ask the entry VM whose settings file is given, and warn that they did. A repeat of a call that has run, whose kept answer is in the log, said outcomeUnknown; it is logUnavailable with notRun false and Retry-After. Empty lists in JSON are [] and not null. Test on processes: the four commands exit 0 with the platform killed and say whose knowledge it is; the repeat gets 503, notRun false, Retry-After 2.

--- a/internal/adapter/administrator/administrator.go
+++ b/internal/adapter/administrator/administrator.go
@@ -37,6 +37,7 @@
 	Status func(now time.Time) Status
 	Ready  func(now time.Time) (why string) // why it is not ready, or empty
 	Fleet  func() *folder.Fleet
+	VMs    func() ml.VMs // the platform's list as this VM knows it
 	Burn   func(now time.Time) any
 }
 
@@ -48,6 +49,7 @@
 	mux.HandleFunc("GET /metrics", ad.guard(func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) }))
 	mux.HandleFunc("GET /admin/status", ad.guard(func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, ad.Status(time.Now())) }))
 	mux.HandleFunc("GET /admin/fleet", ad.guard(func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, ad.Fleet()) }))
+	mux.HandleFunc("GET /admin/vms", ad.guard(func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, ad.VMs()) }))
 	mux.HandleFunc("GET /admin/burn", ad.guard(func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, ad.Burn(time.Now())) }))
 	return mux
 }
--- a/internal/command/commander/operate.go
+++ b/internal/command/commander/operate.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/user"
 	"strconv"
@@ -34,13 +35,13 @@
 }
 
 func (oo operatorOptions) operator() (*operator.Operator, error) {
-	platform, key := loader.Default().Platform, ""
+	platform, key, entry := loader.Default().Platform, "", ""
 	if oo.Settings != "" {
 		se, err := loader.Load(oo.Settings)
 		if err != nil {
 			return nil, err
 		}
-		platform, key = se.Platform, se.AdminKey
+		platform, key, entry = se.Platform, se.AdminKey, se.AdminAddress
 	}
 	if oo.Platform != "" {
 		platform = oo.Platform
@@ -48,7 +49,7 @@
 	if oo.Key != "" {
 		key = oo.Key
 	}
-	return operator.New(platform, key), nil
+	return operator.New(platform, key, entry, slog.New(slog.NewJSONHandler(os.Stderr, nil))), nil
 }
 
 func (oo operatorOptions) context() (context.Context, context.CancelFunc) {
@@ -140,7 +141,7 @@
 	}
 	ctx, cancel := oo.context()
 	defer cancel()
-	fl, err := op.Fleet(ctx)
+	fl, err := op.Known(ctx)
 	if err != nil {
 		return err
 	}
@@ -156,7 +157,7 @@
 			Version    ml.Version             `json:"version"`
 			Config     configurer.Config      `json:"config"`
 			Exceptions []configurer.Exception `json:"exceptions"`
-		}{fl.Version, fl.Config, fl.Exceptions}
+		}{fl.Version, fl.Config, append([]configurer.Exception{}, fl.Exceptions...)}
 		cs.JSON = true
 		cs.print(out, nil)
 		return nil
--- a/internal/command/commander/report.go
+++ b/internal/command/commander/report.go
@@ -6,6 +6,7 @@
 	"os"
 	"slices"
 
+	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/command/reporter"
 	"github.com/mulberrylever/mulberrylever/internal/state/burner"
 	"github.com/mulberrylever/mulberrylever/internal/state/folder"
@@ -47,7 +48,7 @@
 	if err != nil {
 		return reporter.Report{}, err
 	}
-	sns, fl, asked := []burner.Snapshot{}, folder.NewFleet(), reporter.Report{}
+	sns, fl, asked := []burner.Snapshot{}, folder.NewFleet(), reporter.Report{VMs: []ml.VMID{}, Missing: []ml.VMID{}}
 	for _, en := range vms.Entries {
 		if len(rc.VM) > 0 && !slices.Contains(rc.VM, string(en.ID)) {
 			continue
--- a/internal/command/operator/operator.go
+++ b/internal/command/operator/operator.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"slices"
 	"sync"
@@ -50,6 +52,10 @@
 // Operator speaks to the platform and the entry VMs.
 type Operator struct {
 	Key string // admin key
+	// Entry is the admin address of an entry VM that is asked for what it
+	// knows where the platform does not answer; empty for none.
+	Entry string
+	Log   *slog.Logger
 
 	log   ml.Log
 	list  ml.VMList
@@ -58,12 +64,12 @@
 }
 
 // New returns an operator for the platform at address.
-func New(platform, key string) *Operator {
+func New(platform, key, entry string, lo *slog.Logger) *Operator {
 	const timeout = 2 * time.Second
 	client := requester.NewClient(nil, timeout, timeout)
 	client.Transport = &bearer{key: key, next: client.Transport}
 	return &Operator{
-		Key: key, log: appender.New(nil, platform), list: lister.New(nil, platform),
+		Key: key, Entry: entry, Log: lo, log: appender.New(nil, platform), list: lister.New(nil, platform),
 		calls: requester.Requester{Client: client, Step: "ask entry VM"},
 	}
 }
@@ -83,6 +89,38 @@
 	return be.next.RoundTrip(rq)
 }
 
+// Known returns the operators' state from the log or, where that can't be
+// read, as an entry VM knows it.
+func (op *Operator) Known(ctx context.Context) (*folder.Fleet, error) {
+	first, cancel := op.share(ctx)
+	defer cancel()
+	fl, err := op.Fleet(first)
+	if err == nil || op.Entry == "" {
+		return fl, err
+	}
+	fl = &folder.Fleet{}
+	return fl, op.askInstead(ctx, err, "/admin/fleet", fl)
+}
+
+// askInstead asks an entry VM for what the platform did not answer.
+func (op *Operator) askInstead(ctx context.Context, cause error, path string, out any) error {
+	if err := op.Ask(ctx, op.Entry, path, out); err != nil {
+		return errors.Join(cause, err)
+	}
+	op.Log.Warn("the platform does not answer, this is what an entry VM knows", "peer", op.Entry, "error", cause)
+	return nil
+}
+
+// share returns a context for asking the platform that leaves time for asking
+// an entry VM after it.
+func (op *Operator) share(ctx context.Context) (context.Context, context.CancelFunc) {
+	end, bounded := ctx.Deadline()
+	if op.Entry == "" || !bounded {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Until(end)/2)
+}
+
 // Fleet reads the log to its end and returns the operators' state.
 func (op *Operator) Fleet(ctx context.Context) (*folder.Fleet, error) {
 	for {
@@ -135,10 +173,16 @@
 	return ou, nil
 }
 
-// VMs returns the platform's list.
+// VMs returns the platform's list or, where that can't be read, the list as an
+// entry VM knows it.
 func (op *Operator) VMs(ctx context.Context) (ml.VMs, error) {
-	vms, _, err := op.list.List(ctx)
-	return vms, err
+	first, cancel := op.share(ctx)
+	defer cancel()
+	vms, _, err := op.list.List(first)
+	if err == nil || op.Entry == "" {
+		return vms, err
+	}
+	return vms, op.askInstead(ctx, err, "/admin/vms", &vms)
 }
 
 // VMStatus is the status of an entry VM, or why there is none.
--- a/internal/duty/claimer/claimer.go
+++ b/internal/duty/claimer/claimer.go
@@ -193,10 +193,10 @@
 func (cl *Claimer) kept(ctx context.Context, held *folder.Claim) (ml.ServiceAnswer, bool, error) {
 	rs, err := cl.Follower.Result(ctx, held.Result)
 	if err != nil || rs.Answer == nil {
-		er := unknown("the call has run, but its kept answer can't be read now")
-		er.Err = errors.Join(er.Err, err)
-		er.RetryAfter = retryAfter
-		return ml.ServiceAnswer{}, false, er
+		return ml.ServiceAnswer{}, false, &ml.Error{
+			Type: ml.ErrLogUnavailable, Step: "read kept answer", Peer: "log", RetryAfter: retryAfter,
+			Err: errors.Join(errors.New("the call has run, but its kept answer can't be read now"), err),
+		}
 	}
 	answersKept.Inc()
 	return *rs.Answer, false, nil
--- a/internal/proof/prover/fleet_test.go
+++ b/internal/proof/prover/fleet_test.go
@@ -321,7 +321,12 @@
 
 // operate runs an operators' command and returns its output and exit code.
 func (fl *fleet) operate(args ...string) (string, int) {
-	cmd := exec.Command(filepath.Join(binDir, "mulberrylever"), append(args, "--platform", fl.file.Platform.Address)...)
+	return fl.run(append(args, "--platform", fl.file.Platform.Address)...)
+}
+
+// run runs the program and returns its output and exit code.
+func (fl *fleet) run(args ...string) (string, int) {
+	cmd := exec.Command(filepath.Join(binDir, "mulberrylever"), args...)
 	out, _ := cmd.CombinedOutput()
 	return string(out), cmd.ProcessState.ExitCode()
 }
--- a/internal/proof/prover/interface_test.go
+++ b/internal/proof/prover/interface_test.go
@@ -140,8 +140,22 @@
 		fl := startFleet(size{domains: 1, entries: 1, services: 1}, "")
 		defer fl.stop()
 		ca := caller{url: "http://" + fl.plan.Targets[0].Address, client: fl.client}
+		status, body, _ := ca.ask("POST", "/services/bookings/bookings", "{}", "Idempotency-Key", "k1")
+		gomega.Expect(status).To(gomega.Equal(201), body)
+		settings := filepath.Join(fl.dir, "d1-entry1.json")
+		out, code := fl.run("config", "show", "--settings", settings)
+		gomega.Expect(code).To(gomega.Equal(0), out)
 		fl.kill("platform")
-		status, body, after := ca.ask("POST", "/services/bookings/bookings", "{}", "Idempotency-Key", "k2")
+		for _, args := range [][]string{{"status"}, {"config", "show"}, {"domain", "list"}, {"report"}} {
+			out, code := fl.run(append(args, "--settings", settings)...)
+			gomega.Expect(code).To(gomega.Equal(0), out)
+			gomega.Expect(out).To(gomega.ContainSubstring("this is what an entry VM knows"))
+		}
+		status, body, after := ca.ask("POST", "/services/bookings/bookings", "{}", "Idempotency-Key", "k1")
+		gomega.Expect(status).To(gomega.Equal(503), body)
+		gomega.Expect(body).To(gomega.ContainSubstring(`"notRun":false`))
+		gomega.Expect(after).To(gomega.Equal("2"))
+		status, body, after = ca.ask("POST", "/services/bookings/bookings", "{}", "Idempotency-Key", "k2")
 		gomega.Expect(status).To(gomega.Equal(503), body)
 		gomega.Expect(body).To(gomega.ContainSubstring(`"type":"logUnavailable"`))
 		gomega.Expect(body).To(gomega.ContainSubstring(`"notRun":true`))
