feat: a flood by large teams does not push out the small ones

Cause, found by reading: a new ask was predicted to wait behind everything that waits, also what goes after it by its team's share, and was refused for lack of time; a full queue refused whoever came next, whatever its team had had. And all that the window allows was given to an engine at once, where teams don't share: up to 32 prompts of one team before the first of another. Change: only what goes before an ask counts for its wait; in a full queue the last one leaves for one that goes before it; an engine is given no more prompts than it processes in 250 ms, the others wait at the owner.

--- a/internal/decision/granter/granter.go
+++ b/internal/decision/granter/granter.go
@@ -14,6 +14,10 @@
 const (
 	// maxQueue bounds the requests that wait for one endpoint.
 	maxQueue = 256
+	// backlogTime bounds the prompts that an engine has been given and not
+	// processed, in processing time. Further ones wait in the queue, where
+	// teams share and shorter ones go first.
+	backlogTime = 250 * time.Millisecond
 	// keepTerm is the time after which a grant that its holder no longer
 	// answers for is cancelled.
 	keepTerm = 5 * time.Second
@@ -64,10 +68,12 @@
 	LongShare float64 // share of memory open to long prompts
 	Limiter   limiter.Limiter
 
-	holds   map[ml.GrantID]*hold
-	queue   queue
-	rate    float64       // prefill tokens a second, as measured
-	service time.Duration // average time from grant to release
+	holds map[ml.GrantID]*hold
+	queue queue
+
+	displaced []Ask         // had to leave a full queue, not yet told
+	rate      float64       // prefill tokens a second, as measured
+	service   time.Duration // average time from grant to release
 
 	reportedRate float64 // prefill tokens a second without a batch, as the engine reports
 }
@@ -86,9 +92,6 @@
 	if as.Memory > gr.Endpoint.Memory && gr.Endpoint.Kind == ml.KindEngine {
 		return gr.refuse(0, "%d tokens do not fit in %d", as.Memory, gr.Endpoint.Memory)
 	}
-	if gr.queue.len() >= maxQueue {
-		return gr.refuse(time.Second, "%d requests are waiting", maxQueue)
-	}
 	as.arrived = now
 	wait := gr.Wait(now, as)
 	if now.Add(wait + as.Needs).After(as.Deadline) {
@@ -97,6 +100,13 @@
 	if as.MostWait > 0 && wait > as.MostWait {
 		return &Refused{Endpoint: gr.Endpoint.ID, Reason: "the wait is longer than expected", Busy: true, RetryAfter: wait}
 	}
+	if gr.queue.len() >= maxQueue {
+		last, found := gr.queue.displace(now, as)
+		if !found {
+			return gr.refuse(wait, "%d requests are waiting", maxQueue)
+		}
+		gr.displaced = append(gr.displaced, last)
+	}
 	gr.queue.push(as)
 	return nil
 }
@@ -104,8 +114,9 @@
 // Wait estimates the time until as would be granted and the engine has worked
 // through the prompts before it.
 func (gr *Granter) Wait(now time.Time, as Ask) time.Duration {
-	ahead, _ := gr.queue.ahead(as.Length)
-	prefill := time.Duration(float64(gr.ahead(as.Length)) / gr.rate * float64(time.Second))
+	as.arrived = now
+	ahead, tokens := gr.queue.before(now, as)
+	prefill := time.Duration(float64(tokens+gr.prefillBefore(as.Length)) / gr.rate * float64(time.Second))
 	free := gr.Limiter.Window(now) - len(gr.holds)
 	if ahead < free {
 		return prefill
@@ -125,8 +136,13 @@
 	return as, true
 }
 
-// Expired removes and returns the asks that can no longer be served in time.
-func (gr *Granter) Expired(now time.Time) []Ask { return gr.queue.expired(now) }
+// Expired removes and returns the asks that can no longer be served in time,
+// and those that had to leave a full queue to others.
+func (gr *Granter) Expired(now time.Time) []Ask {
+	out := append(gr.displaced, gr.queue.expired(now)...)
+	gr.displaced = nil
+	return out
+}
 
 // Withdraw removes an ask from the queue, or ends a grant that was not used.
 func (gr *Granter) Withdraw(id ml.GrantID) {
@@ -187,6 +203,9 @@
 	if gr.Limiter.Cold(now) && prefill > gr.Endpoint.ColdTokens {
 		return false
 	}
+	if as.Length < ml.Long && float64(gr.prefillBefore(as.Length)) > gr.rate*backlogTime.Seconds() {
+		return false
+	}
 	if as.Length >= ml.Long && (longPrefill || (long > 0 && float64(long+as.Memory) > gr.LongShare*float64(gr.Endpoint.Memory))) {
 		return false
 	}
--- a/internal/decision/granter/granter_test.go
+++ b/internal/decision/granter/granter_test.go
@@ -51,6 +51,8 @@
 		if err := sc.gr.Enqueue(sc.now, sc.ask(t, td)); err != nil {
 			return err.Error()
 		}
+	case "flood":
+		return sc.flood(t, td)
 	case "rate":
 		return fmt.Sprintf("%.0f", sc.gr.Load(sc.now).Rate)
 	case "grant":
@@ -91,6 +93,19 @@
 	}
 }
 
+// flood asks many times and counts the refusals.
+func (sc *script) flood(t *testing.T, td *datadriven.TestData) string {
+	refused := 0
+	for i := range number(t, td, "count", 1) {
+		as := sc.ask(t, td)
+		as.ID = ml.GrantID(fmt.Sprintf("%s%d", as.ID, i+1))
+		if err := sc.gr.Enqueue(sc.now, as); err != nil {
+			refused++
+		}
+	}
+	return fmt.Sprintf("%d refused", refused)
+}
+
 // grant grants all that fits and lists the ids.
 func (sc *script) grant() string {
 	out := []string{}
--- a/internal/decision/granter/queue.go
+++ b/internal/decision/granter/queue.go
@@ -31,20 +31,21 @@
 	if weight <= 0 {
 		weight = 1
 	}
-	as.start = max(qu.clock, qu.teams[as.Team])
+	as.start = qu.startOf(as.Team)
 	qu.teams[as.Team] = as.start + float64(as.Prompt+1)/weight
 	qu.asks = append(qu.asks, as)
 }
 
+// startOf returns the virtual time at which a new ask of a team begins.
+func (qu *queue) startOf(id ml.TeamID) float64 { return max(qu.clock, qu.teams[id]) }
+
 // next removes and returns the first ask that fits.
 func (qu *queue) next(now time.Time, fits func(Ask) bool) (Ask, bool) {
 	if len(qu.asks) == 0 {
 		qu.forgetTeams()
 		return Ask{}, false
 	}
-	slices.SortStableFunc(qu.asks, func(a, b Ask) int {
-		return cmp.Or(cmp.Compare(rank(now, a), rank(now, b)), cmp.Compare(a.start, b.start), a.Deadline.Compare(b.Deadline))
-	})
+	slices.SortStableFunc(qu.asks, func(a, b Ask) int { return order(now, a, b) })
 	for i, as := range qu.asks {
 		if fits(as) {
 			qu.asks = slices.Delete(qu.asks, i, i+1)
@@ -59,6 +60,12 @@
 	return Ask{}, false
 }
 
+// order tells which of two asks goes first: by rank, then by the virtual times
+// of their teams.
+func order(now time.Time, a, b Ask) int {
+	return cmp.Or(cmp.Compare(rank(now, a), rank(now, b)), cmp.Compare(a.start, b.start), a.Deadline.Compare(b.Deadline))
+}
+
 // rank orders asks: the length, less one for each ageing interval waited.
 func rank(now time.Time, as Ask) int {
 	return int(as.Length) - int(now.Sub(as.arrived)/ageing)
@@ -93,6 +100,37 @@
 	return asks, tokens
 }
 
+// before counts the asks, and their prompt tokens, that would go before a new
+// one. Those of other teams that have had more than their share don't.
+func (qu *queue) before(now time.Time, as Ask) (asks int, tokens ml.Tokens) {
+	as.start = qu.startOf(as.Team)
+	for _, other := range qu.asks {
+		if order(now, other, as) <= 0 {
+			asks++
+			tokens += max(other.Prompt-other.Cached, 0)
+		}
+	}
+	return asks, tokens
+}
+
+// displace removes and returns the ask that would go last, if it goes after a
+// new one.
+func (qu *queue) displace(now time.Time, as Ask) (Ask, bool) {
+	as.start = qu.startOf(as.Team)
+	last := 0
+	for i := range qu.asks {
+		if order(now, qu.asks[i], qu.asks[last]) > 0 {
+			last = i
+		}
+	}
+	if order(now, qu.asks[last], as) <= 0 {
+		return Ask{}, false
+	}
+	out := qu.asks[last]
+	qu.asks = slices.Delete(qu.asks, last, last+1)
+	return out, true
+}
+
 func (qu *queue) long() int {
 	n := 0
 	for _, as := range qu.asks {
--- a/internal/duty/owner/desk.go
+++ b/internal/duty/owner/desk.go
@@ -174,7 +174,7 @@
 // pumpLocked answers the asks that have run out of time and those that fit.
 func (de *desk) pumpLocked(now time.Time) {
 	for _, as := range de.granter.Expired(now) {
-		de.answer(as.ID, ml.Grant{Type: ml.ErrOverloaded, Reason: "the answer would come after its deadline"})
+		de.answer(as.ID, ml.Grant{Type: ml.ErrOverloaded, Reason: "the answer would come after its deadline, or others fill the queue"})
 	}
 	if why := de.unusable(now); why != "" {
 		de.refuseAll(ml.ErrUnavailable, why)
--- a/internal/standin/comparer/comparer.go
+++ b/internal/standin/comparer/comparer.go
@@ -72,7 +72,7 @@
 
 // read reads all results. A run that was not made is left out.
 func (co *Comparer) read() error {
-	names := []string{shorterRun, floorRun, awayRun}
+	names := []string{shorterRun, floorRun, awayRun, floodRun}
 	for _, load := range loads {
 		for _, policy := range policies() {
 			names = append(names, load+"-"+policy)
--- a/internal/standin/comparer/judge.go
+++ b/internal/standin/comparer/judge.go
@@ -12,6 +12,7 @@
 	shorterRun = "80-shorter" // load 80 without long and huge prompts
 	floorRun   = "floor"      // short prompts alone, a few a second
 	awayRun    = "away"       // load 50 while a failure domain goes out and comes back
+	floodRun   = "flood"      // load 200, most of it from a few large teams
 )
 
 // The targets.
@@ -20,6 +21,8 @@
 	longShare    = 0.95 // long prompts completed, of the best baseline's
 	isolation    = 1.10 // short p99 with long prompts, of that without
 	awaySlowdown = 1.25 // short p95 while a domain is out and returns, of that before
+	floodShare   = 0.99 // of small teams\' short prompts, answered while large teams flood
+	floodWorstMs = 1400 // their TTFT p95
 	isolationP   = 99
 	comparedP    = 95
 	settleMs     = 2000 // left out at the start of a run
@@ -45,6 +48,7 @@
 		verdict(w, ratio <= isolation, "load %s, short: TTFT p99 %.2f times that without long prompts, target %.2f", judgedLoad, ratio, isolation)
 	}
 	co.judgeAway(w)
+	co.judgeFlood(w)
 	all, lost := co.count()
 	fmt.Fprintf(w, "%d requests in all, %d lost\n", all, lost)
 }
@@ -116,6 +120,48 @@
 	verdict(w, ratio <= awaySlowdown, "load 50, a domain %s, short: TTFT p95 %.0f ms, %.2f times that before, target %.2f", what, p95, ratio, awaySlowdown)
 }
 
+// judgeFlood tells how short prompts of the small teams fare while a few large
+// teams ask for more than there is.
+func (co *Comparer) judgeFlood(w io.Writer) {
+	small, large := co.byTeamSize(floodRun)
+	if len(small) == 0 {
+		return
+	}
+	writeTeams(w, "small teams", small)
+	writeTeams(w, "large teams", large)
+	_, share := completed(small, shortKind)
+	p95 := percentile(small, shortKind, comparedP)
+	verdict(w, share >= floodShare && p95 <= floodWorstMs,
+		"load 200, small teams, short: %.3f answered, TTFT p95 %.0f ms, target %.2f and %d ms", share, p95, floodShare, floodWorstMs)
+}
+
+// byTeamSize divides the results of a run by the size of their teams.
+func (co *Comparer) byTeamSize(run string) (small, large []generator.Result) {
+	sent, most := make(map[string]int), 0
+	for _, rs := range co.runs[run] {
+		sent[rs.Team]++
+		most = max(most, sent[rs.Team])
+	}
+	const part = 2 // a small team sends less than half of what the largest does
+	for _, rs := range co.runs[run] {
+		if sent[rs.Team]*part < most {
+			small = append(small, rs)
+		} else {
+			large = append(large, rs)
+		}
+	}
+	return small, large
+}
+
+func writeTeams(w io.Writer, who string, results []generator.Result) {
+	for _, kind := range kinds {
+		sent, share := completed(results, kind)
+		if sent > 0 {
+			fmt.Fprintf(w, "       load 200, %s, %s: %d sent, %.3f answered, TTFT p95 %.0f ms\n", who, kind, sent, share, percentile(results, kind, comparedP))
+		}
+	}
+}
+
 // count returns how many requests there were and how many were lost.
 func (co *Comparer) count() (all, lost int) {
 	for _, results := range co.runs {
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Measures the routing policies side by side on one fleet of real processes, at
 # 50, 80 and 110 in 100 of its capacity, short prompts without long ones, short
-# ones alone, and a failure domain that goes out and comes back. Results as JSON
+# ones alone, a failure domain that goes out and comes back, and twice the
+# capacity, most of it from a few large teams. Results as JSON
 # lines in out/bench-FLEET with table.txt and plot.svg; the last lines judge the
 # targets.
 set -u
@@ -50,5 +51,6 @@
 away=$!
 measure away "$((CAPACITY / 2))" "$FLEET_DIR/load.jsonc" 45s
 wait "$away"
+measure flood "$((CAPACITY * 2))" "$FLEET_DIR/load.jsonc" "$LENGTH"
 echo "engines overloaded while cold: $(grep -l 'overloaded while cold' "$OUT"/*.log | wc -l)"
 bin/standin compare --dir "$OUT" --out-at 15s --back-at 30s
