--- a/internal/duty/owner/desk.go
+++ b/internal/duty/owner/desk.go
@@ -28,9 +28,10 @@
 )
 
 var (
-	grantsMade = metrics.NewCounter("mulberrylever_grants_total")
-	refusals   = metrics.NewCounter("mulberrylever_grant_refusals_total")
-	orphans    = metrics.NewCounter("mulberrylever_holds_cancelled_total")
+	grantsMade  = metrics.NewCounter("mulberrylever_grants_total")
+	busyAnswers = metrics.NewCounter("mulberrylever_grant_busy_answers_total")
+	refusals    = metrics.NewCounter("mulberrylever_grant_refusals_total")
+	orphans     = metrics.NewCounter("mulberrylever_holds_cancelled_total")
 )
 
 // desk grants work for one endpoint.
@@ -83,6 +84,10 @@
 // reserve waits until the ask is granted or refused, or ctx ends.
 func (de *desk) reserve(ctx context.Context, re ml.Reservation) ml.Grant {
 	answer, refusal := de.enqueue(time.Now(), re)
+	if answer == nil && refusal.Type == ml.ErrBusy {
+		busyAnswers.Inc()
+		return refusal
+	}
 	if answer == nil {
 		refusals.Inc()
 		return refusal
