fix: choose among the endpoints that are heard of, tell the right owner

Cause, found by working the plan's size through the table: a node that hears a sample of the fleet once knew 1,000 endpoints of a model of which a few are fresh. Candidates are drawn at random from all, so most draws hit silent ones and a pick found nothing. News of a grant went to the owner in the table, which may have been heard of minutes before the grant, or not at all for a stream that was resumed here; its memory would then have been taken back. Change: an endpoint that is silent leaves the choice until its next load; the holder remembers who gave a grant; where nothing is known the listed member that would win the endpoint is told. Models are listed from the platform's list. Before: no pick with 3 of 1,000 fresh, seen red. After: always found.

--- a/internal/command/server/status.go
+++ b/internal/command/server/status.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"slices"
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
@@ -60,10 +61,16 @@
 
 func (se *Server) fleet() *folder.Fleet { return se.keeper.View().Fleet }
 
+// models returns the models that the listed engines in service have.
 func (se *Server) models() []ml.ModelID {
-	out := []ml.ModelID{}
-	se.gossiper.Route(func(ta *router.Table) { out = ta.Models() })
-	return out
+	vi, out := se.keeper.View(), []ml.ModelID{}
+	for _, ep := range se.keeper.VMs().Endpoints {
+		if ep.Kind == ml.KindEngine && vi.InService(ep) == "" {
+			out = append(out, ep.Model)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
 }
 
 // burn returns what this VM has counted against the objectives.
--- a/internal/decision/lessor/lessor.go
+++ b/internal/decision/lessor/lessor.go
@@ -213,6 +213,18 @@
 	return me
 }
 
+// Winner returns the one of some entry VMs that owns ep when all of them are
+// alive, or "" when there is none.
+func Winner(among []ml.VMID, ep ml.EndpointID) ml.VMID {
+	best, top := ml.VMID(""), uint64(0)
+	for _, id := range among {
+		if sc := score(id, ep); best == "" || sc > top || (sc == top && id > best) {
+			best, top = id, sc
+		}
+	}
+	return best
+}
+
 // score is the rendezvous hash of a member for an endpoint.
 func score(vm ml.VMID, ep ml.EndpointID) uint64 {
 	di := xxhash.Digest{}
--- a/internal/decision/router/group.go
+++ b/internal/decision/router/group.go
@@ -31,13 +31,24 @@
 		return cmp.Compare(other.order, order)
 	})
 	gp.all = slices.Insert(gp.all, at, ca)
+	ca.grouped = true
+}
+
+// remove takes an endpoint out of the choice.
+func (gp *group) remove(ca *Candidate) {
+	gp.all = slices.DeleteFunc(gp.all, func(other *Candidate) bool { return other == ca })
+	gp.setOwn(ca, false)
+	ca.grouped = false
 }
 
 // setOwn records whether this VM owns an endpoint.
 func (gp *group) setOwn(ca *Candidate, owned bool) {
-	gp.own = slices.DeleteFunc(gp.own, func(other *Candidate) bool { return other == ca })
-	if owned {
+	at := slices.Index(gp.own, ca)
+	switch {
+	case owned && at < 0:
 		gp.own = append(gp.own, ca)
+	case !owned && at >= 0:
+		gp.own = slices.Delete(gp.own, at, at+1)
 	}
 }
 
--- a/internal/decision/router/router.go
+++ b/internal/decision/router/router.go
@@ -24,7 +24,8 @@
 	// that go before a new prompt of each length.
 	Added [ml.Lengths]ml.Tokens
 
-	order uint64 // place among the endpoints of its group
+	order   uint64 // place among the endpoints of its group
+	grouped bool   // it is among them
 }
 
 // Request is what routing needs to know of a request.
--- a/internal/decision/router/router_test.go
+++ b/internal/decision/router/router_test.go
@@ -141,3 +141,31 @@
 		})
 	}
 }
+
+// TestFewAreFresh checks that a pick finds an endpoint when only a few of many
+// that were once heard of are still renewed, as on a node that hears a sample of
+// a large fleet.
+func TestFewAreFresh(t *testing.T) {
+	ta := router.NewTable("home", router.Predicted{}, 4, 1)
+	endpoint := func(i int) ml.Endpoint {
+		return ml.Endpoint{ID: ml.EndpointID(fmt.Sprintf("e%d", i)), Kind: ml.KindEngine, Model: "m", Memory: 400_000}
+	}
+	const known, fresh = 1000, 3
+	now := start
+	for i := range known {
+		ta.Update(now, endpoint(i), "owner", ml.EndpointLoad{Window: 32, Rate: 100_000})
+	}
+	for range 100 {
+		now = now.Add(10 * time.Second)
+		for i := range fresh {
+			ta.Update(now, endpoint(i), "owner", ml.EndpointLoad{Window: 32, Rate: 100_000})
+		}
+		ta.Expire(now)
+		if _, found := ta.Pick(now, router.Request{Model: "m", Prompt: 1000, Memory: 1000}, nil); !found {
+			t.Fatalf("no pick although %d of %d endpoints are fresh", fresh, known)
+		}
+	}
+	if owner, heard := ta.Owner("e999"); owner != "owner" || heard != start {
+		t.Fatalf("owner %q heard at %v: an endpoint that is not fresh is forgotten", owner, heard)
+	}
+}
--- a/internal/decision/router/table.go
+++ b/internal/decision/router/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
@@ -47,11 +46,12 @@
 	if ca == nil {
 		ca = &Candidate{}
 		ta.byID[ep.ID] = ca
-		ta.group(key(ep.Model, ep.Service)).insert(ca, ep.ID)
 	}
-	if had, has := ca.Owner == ta.Self && ca.Owner != "", owner == ta.Self; had != has {
-		ta.group(key(ep.Model, ep.Service)).setOwn(ca, has)
+	gp := ta.groupOf(ep)
+	if !ca.grouped {
+		gp.insert(ca, ep.ID)
 	}
+	gp.setOwn(ca, owner == ta.Self)
 	ca.Endpoint, ca.Owner, ca.Load, ca.Heard = ep, owner, lo, now
 	ca.Added, ca.AddedReq = [ml.Lengths]ml.Tokens{}, 0
 }
@@ -63,9 +63,7 @@
 		return
 	}
 	delete(ta.byID, id)
-	gp := ta.group(key(ca.Endpoint.Model, ca.Endpoint.Service))
-	gp.all = slices.DeleteFunc(gp.all, func(other *Candidate) bool { return other == ca })
-	gp.setOwn(ca, false)
+	ta.groupOf(ca.Endpoint).remove(ca)
 }
 
 // Retain drops the endpoints that keep returns false for.
@@ -77,12 +75,23 @@
 	}
 }
 
-// Owner returns the owner of an endpoint as heard last, or "".
-func (ta *Table) Owner(id ml.EndpointID) ml.VMID {
+// Expire takes endpoints that were not heard of lately out of the choice. They
+// come back with their next load.
+func (ta *Table) Expire(now time.Time) {
+	for _, ca := range ta.byID {
+		if ca.grouped && now.Sub(ca.Heard) >= staleAfter {
+			ta.groupOf(ca.Endpoint).remove(ca)
+		}
+	}
+}
+
+// Owner returns the owner of an endpoint as heard last, or "", and when it was
+// heard.
+func (ta *Table) Owner(id ml.EndpointID) (ml.VMID, time.Time) {
 	if ca := ta.byID[id]; ca != nil {
-		return ca.Owner
+		return ca.Owner, ca.Heard
 	}
-	return ""
+	return "", time.Time{}
 }
 
 // Load returns an endpoint's load as heard last. The second result is false
@@ -162,17 +171,6 @@
 	return gp != nil && len(gp.all) > 0
 }
 
-// Models returns the models with at least one endpoint.
-func (ta *Table) Models() []ml.ModelID {
-	out := []ml.ModelID{}
-	for _, gp := range ta.groups {
-		if len(gp.all) > 0 && gp.all[0].Endpoint.Kind == ml.KindEngine {
-			out = append(out, gp.all[0].Endpoint.Model)
-		}
-	}
-	return out
-}
-
 // Largest returns the memory of the largest engine for a model.
 func (ta *Table) Largest(mo ml.ModelID) ml.Tokens {
 	most := ml.Tokens(0)
@@ -221,6 +219,8 @@
 	ta.seen[prefix] = true
 }
 
+func (ta *Table) groupOf(ep ml.Endpoint) *group { return ta.group(key(ep.Model, ep.Service)) }
+
 func (ta *Table) group(k string) *group {
 	gp := ta.groups[k]
 	if gp == nil {
--- a/internal/duty/gossiper/gossiper.go
+++ b/internal/duty/gossiper/gossiper.go
@@ -241,6 +241,23 @@
 	return en.PeerAddress
 }
 
+// Owner returns the entry VM that owns an endpoint, as heard since a time. When
+// nothing was heard since, it is the fallback or, without one, the listed member
+// of the endpoint's place that would win it if all were alive.
+func (gs *Gossiper) Owner(ep ml.Endpoint, since time.Time, fallback ml.VMID) ml.VMID {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	owner, heard := gs.table.Owner(ep.ID)
+	switch {
+	case owner != "" && !heard.Before(since):
+		return owner
+	case fallback != "":
+		return fallback
+	default:
+		return lessor.Winner(gs.Keeper.EntriesAt(ep.Place()), ep.ID)
+	}
+}
+
 // targets returns the members of the own place and a few others in turn. A
 // peer that still has a heartbeat under way is left out, and one that is not
 // listed and was not heard for long is forgotten.
@@ -298,6 +315,7 @@
 		ep, listed := gs.Keeper.Endpoint(id)
 		return listed && vi.InService(ep) == ""
 	})
+	gs.table.Expire(now)
 	gs.updateTable(now, gs.Self.ID, loads)
 }
 
--- a/internal/duty/holder/holder.go
+++ b/internal/duty/holder/holder.go
@@ -6,13 +6,14 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	ml "github.com/mulberrylever/mulberrylever"
-	"github.com/mulberrylever/mulberrylever/internal/decision/router"
 )
 
 const (
@@ -38,7 +39,7 @@
 
 // Routes finds owners.
 type Routes interface {
-	Route(use func(ta *router.Table))
+	Owner(ep ml.Endpoint, since time.Time, fallback ml.VMID) ml.VMID
 	PeerAddress(id ml.VMID) string
 	Age(now time.Time, of ml.VMID, at time.Duration) (time.Duration, bool)
 }
@@ -70,6 +71,8 @@
 	Endpoint    ml.Endpoint
 	Incarnation ml.Incarnation // as the owner knew it
 	holder      *Holder
+	owner       ml.VMID   // that gave the grant; empty when it is not known
+	asked       time.Time // when that was known
 	sendBy      time.Time
 	started     sync.Once
 	released    sync.Once
@@ -132,7 +135,7 @@
 		}
 	}
 	granted := now.Add(-ho.age(now, asked, owner, gr))
-	he := &Held{ID: re.ID, Endpoint: ep, Incarnation: gr.Incarnation, holder: ho, sendBy: granted.Add(ho.Timing.GrantTerm)}
+	he := &Held{ID: re.ID, Endpoint: ep, Incarnation: gr.Incarnation, holder: ho, owner: owner, asked: asked, sendBy: granted.Add(ho.Timing.GrantTerm)}
 	if err := he.Usable(now); err != nil {
 		ho.tell(owner, ml.GrantNews{ID: re.ID, Endpoint: ep.ID, Kind: ml.NewsReleased, Outcome: ml.Unsent})
 		return nil, err
@@ -165,14 +168,14 @@
 
 // Confirm tells the owner that the endpoint has accepted the request.
 func (he *Held) Confirm(in ml.Incarnation) {
-	he.holder.tellOwner(ml.GrantNews{ID: he.ID, Endpoint: he.Endpoint.ID, Kind: ml.NewsConfirmed, Incarnation: in})
+	he.tellOwner(ml.GrantNews{ID: he.ID, Endpoint: he.Endpoint.ID, Kind: ml.NewsConfirmed, Incarnation: in})
 }
 
 // Started tells the owner that the first token came. Only the first call
 // counts.
 func (he *Held) Started() {
 	he.started.Do(func() {
-		he.holder.tellOwner(ml.GrantNews{ID: he.ID, Endpoint: he.Endpoint.ID, Kind: ml.NewsStarted})
+		he.tellOwner(ml.GrantNews{ID: he.ID, Endpoint: he.Endpoint.ID, Kind: ml.NewsStarted})
 	})
 }
 
@@ -184,30 +187,25 @@
 		ho.mu.Lock()
 		delete(ho.held, he.ID)
 		ho.mu.Unlock()
-		ho.tellOwner(ml.GrantNews{ID: he.ID, Endpoint: he.Endpoint.ID, Kind: ml.NewsReleased, Outcome: ou})
+		he.tellOwner(ml.GrantNews{ID: he.ID, Endpoint: he.Endpoint.ID, Kind: ml.NewsReleased, Outcome: ou})
 	})
 }
 
 // keep tells the owners which grants are still held.
 func (ho *Holder) keep() {
 	ho.mu.Lock()
-	news := make([]ml.GrantNews, 0, len(ho.held))
-	for _, he := range ho.held {
-		news = append(news, ml.GrantNews{ID: he.ID, Endpoint: he.Endpoint.ID, Kind: ml.NewsKept})
-	}
+	held := slices.Collect(maps.Values(ho.held))
 	ho.mu.Unlock()
-	for _, ne := range news {
-		ho.tellOwner(ne)
+	for _, he := range held {
+		he.tellOwner(ml.GrantNews{ID: he.ID, Endpoint: he.Endpoint.ID, Kind: ml.NewsKept})
 	}
 }
 
 // tellOwner sends news to the endpoint's owner as known now; ownership may
 // have changed since the grant.
-func (ho *Holder) tellOwner(ne ml.GrantNews) {
-	owner := ml.VMID("")
-	ho.Routes.Route(func(ta *router.Table) { owner = ta.Owner(ne.Endpoint) })
-	if owner != "" {
-		ho.tell(owner, ne)
+func (he *Held) tellOwner(ne ml.GrantNews) {
+	if owner := he.holder.Routes.Owner(he.Endpoint, he.asked, he.owner); owner != "" {
+		he.holder.tell(owner, ne)
 	}
 }
 
--- a/internal/duty/planner/planner.go
+++ b/internal/duty/planner/planner.go
@@ -165,7 +165,7 @@
 
 func (pl *Planner) empty(ctx context.Context, ep ml.Endpoint) (*holder.Held, error) {
 	owner := ml.VMID("")
-	pl.Routes.Route(func(ta *router.Table) { owner = ta.Owner(ep.ID) })
+	pl.Routes.Route(func(ta *router.Table) { owner, _ = ta.Owner(ep.ID) })
 	return pl.Holder.Reserve(ctx, ep, owner, ml.Reservation{
 		ID: ml.GrantID("sleep-" + uuid.NewString()), Endpoint: ep.ID, Holder: pl.Self.ID, Team: "(planner)",
 		Memory: ep.Memory, Member: true, DeadlineMs: orderTimeout.Milliseconds(), PatienceMs: (orderTimeout / 4).Milliseconds(),
--- a/internal/state/keeper/keeper.go
+++ b/internal/state/keeper/keeper.go
@@ -38,6 +38,7 @@
 	entries   map[ml.VMID]ml.EntryVM
 	endpoints map[ml.EndpointID]ml.Endpoint
 	places    map[ml.Place][]ml.Endpoint
+	members   map[ml.Place][]ml.VMID
 }
 
 // View returns the operators' state. Before any was read it is the built-in
@@ -88,9 +89,11 @@
 	li := &listing{
 		vms: vms, entries: make(map[ml.VMID]ml.EntryVM, len(vms.Entries)),
 		endpoints: make(map[ml.EndpointID]ml.Endpoint, len(vms.Endpoints)), places: make(map[ml.Place][]ml.Endpoint),
+		members: make(map[ml.Place][]ml.VMID),
 	}
 	for _, en := range vms.Entries {
 		li.entries[en.ID] = en
+		li.members[en.Place()] = append(li.members[en.Place()], en.ID)
 	}
 	for _, ep := range vms.Endpoints {
 		li.endpoints[ep.ID] = ep
@@ -128,3 +131,7 @@
 // EndpointsAt returns the listed endpoints of a place. The caller must not
 // change them.
 func (ke *Keeper) EndpointsAt(pl ml.Place) []ml.Endpoint { return ke.listing().places[pl] }
+
+// EntriesAt returns the listed entry VMs of a place. The caller must not change
+// them.
+func (ke *Keeper) EntriesAt(pl ml.Place) []ml.VMID { return ke.listing().members[pl] }
