fix: teams share within a length however long they have waited

Cause, found by the run at twice the capacity: the rank of each ask rose with its own wait, so under overload a large team's old asks went before a small team's new ones, and a medium prompt that had waited 3 s for its turn held up the short ones behind it. Change: lengths age as a whole, by their oldest ask; within one, only the teams' shares count. An ask that waits for prompts of its own length holds up nothing; one that waits for room still does.

Logs are now kept in any case and a process that ends by itself fails the run with the end of its log.

--- a/internal/decision/granter/granter.go
+++ b/internal/decision/granter/granter.go
@@ -14,9 +14,9 @@
 const (
 	// maxQueue bounds the requests that wait for one endpoint.
 	maxQueue = 256
-	// backlogTime bounds the prompts that an engine has been given and not
-	// processed, in processing time. Further ones wait in the queue, where
-	// teams share and shorter ones go first.
+	// backlogTime bounds the prompts of one length that an engine has been
+	// given and not processed, in processing time. Further ones wait in the
+	// queue, where teams share.
 	backlogTime = 250 * time.Millisecond
 	// keepTerm is the time after which a grant that its holder no longer
 	// answers for is cancelled.
@@ -128,7 +128,7 @@
 // Next grants the next ask that fits. The second result is false when none
 // does.
 func (gr *Granter) Next(now time.Time) (Ask, bool) {
-	as, found := gr.queue.next(now, func(as Ask) bool { return gr.fits(now, as) })
+	as, found := gr.queue.next(now, func(as Ask) fit { return gr.fits(now, as) })
 	if !found {
 		return Ask{}, false
 	}
@@ -173,9 +173,10 @@
 // Idle tells whether the endpoint has nothing to do.
 func (gr *Granter) Idle() bool { return len(gr.holds) == 0 && gr.queue.len() == 0 }
 
-func (gr *Granter) fits(now time.Time, as Ask) bool {
+// fits tells whether an ask can be granted, or what it waits for.
+func (gr *Granter) fits(now time.Time, as Ask) fit {
 	requests, unconfirmed := 0, 0
-	memory, long, prefill, longPrefill := as.Memory, ml.Tokens(0), max(as.Prompt-as.Cached, 0), false
+	memory, long, prefill, alike, longPrefill := as.Memory, ml.Tokens(0), max(as.Prompt-as.Cached, 0), ml.Tokens(0), false
 	for _, ho := range gr.holds {
 		memory += ho.ask.Memory
 		if ho.ask.Member {
@@ -186,30 +187,38 @@
 		if !ho.confirmed {
 			unconfirmed++
 		}
+		if ho.ask.Length == as.Length {
+			alike += ho.prefill
+		}
 		if ho.ask.Length >= ml.Long {
 			long += ho.ask.Memory
 			longPrefill = longPrefill || ho.prefill > 0
 		}
 	}
-	if as.Member {
-		return memory <= gr.Endpoint.Memory
-	}
-	if requests >= gr.Limiter.Window(now) || unconfirmed >= gr.Limiter.Unconfirmed() {
-		return false
-	}
-	if gr.Endpoint.Kind != ml.KindEngine {
-		return true
-	}
-	if gr.Limiter.Cold(now) && prefill > gr.Endpoint.ColdTokens {
-		return false
+	engine := gr.Endpoint.Kind == ml.KindEngine
+	switch {
+	case as.Member:
+		return room(memory <= gr.Endpoint.Memory)
+	case requests >= gr.Limiter.Window(now) || unconfirmed >= gr.Limiter.Unconfirmed():
+		return needsRoom
+	case !engine:
+		return fitsNow
+	case gr.Limiter.Cold(now) && prefill > gr.Endpoint.ColdTokens:
+		return needsRoom
+	case as.Length < ml.Long && float64(alike) > gr.rate*backlogTime.Seconds():
+		return needsTurn
+	case as.Length >= ml.Long && (longPrefill || (long > 0 && float64(long+as.Memory) > gr.LongShare*float64(gr.Endpoint.Memory))):
+		return needsRoom
+	default:
+		return room(memory <= gr.Endpoint.Memory)
 	}
-	if as.Length < ml.Long && float64(gr.prefillBefore(as.Length)) > gr.rate*backlogTime.Seconds() {
-		return false
-	}
-	if as.Length >= ml.Long && (longPrefill || (long > 0 && float64(long+as.Memory) > gr.LongShare*float64(gr.Endpoint.Memory))) {
-		return false
+}
+
+func room(enough bool) fit {
+	if enough {
+		return fitsNow
 	}
-	return memory <= gr.Endpoint.Memory
+	return needsRoom
 }
 
 // ahead returns the prompt tokens, granted and waiting, that are processed
--- a/internal/decision/granter/queue.go
+++ b/internal/decision/granter/queue.go
@@ -8,7 +8,7 @@
 	ml "github.com/mulberrylever/mulberrylever"
 )
 
-// ageing is the time after which a waiting request moves up by one length.
+// ageing is the time of waiting after which a length moves up by one.
 const ageing = 3 * time.Second
 
 // queue holds the asks that wait for one endpoint. Shorter prompts go first,
@@ -39,36 +39,77 @@
 // startOf returns the virtual time at which a new ask of a team begins.
 func (qu *queue) startOf(id ml.TeamID) float64 { return max(qu.clock, qu.teams[id]) }
 
+// fit tells whether an ask can be granted, or what it waits for.
+type fit int
+
+const (
+	fitsNow   fit = iota
+	needsTurn     // for prompts of its length that the engine has before it
+	needsRoom     // for requests or memory to be given back
+)
+
 // next removes and returns the first ask that fits.
-func (qu *queue) next(now time.Time, fits func(Ask) bool) (Ask, bool) {
+func (qu *queue) next(now time.Time, fits func(Ask) fit) (Ask, bool) {
 	if len(qu.asks) == 0 {
 		qu.forgetTeams()
 		return Ask{}, false
 	}
-	slices.SortStableFunc(qu.asks, func(a, b Ask) int { return order(now, a, b) })
+	ra := qu.ranks(now)
+	slices.SortStableFunc(qu.asks, ra.compare)
+	waitsForTurn := [ml.Lengths]bool{}
 	for i, as := range qu.asks {
-		if fits(as) {
+		if waitsForTurn[as.Length] {
+			continue
+		}
+		what := fits(as)
+		switch {
+		case what == fitsNow:
 			qu.asks = slices.Delete(qu.asks, i, i+1)
 			qu.clock = max(qu.clock, as.start)
 			return as, true
-		}
-		if rank(now, as) < int(as.Length) {
-			// It has waited long: nothing of its rank or behind overtakes it.
+		case what == needsTurn:
+			waitsForTurn[as.Length] = true
+		case ra[as.Length].value < int(as.Length):
+			// Its length has waited long: nothing behind takes the room
+			// that is given back.
 			return Ask{}, false
 		}
 	}
 	return Ask{}, false
 }
 
-// order tells which of two asks goes first: by rank, then by the virtual times
-// of their teams.
-func order(now time.Time, a, b Ask) int {
-	return cmp.Or(cmp.Compare(rank(now, a), rank(now, b)), cmp.Compare(a.start, b.start), a.Deadline.Compare(b.Deadline))
+// rank orders the lengths. The lowest goes first.
+type rank struct {
+	value  int       // the length, less one for each ageing interval that its oldest ask has waited
+	oldest time.Time // arrival of that ask
+}
+
+// ranks holds the rank of each length at one time. Within a length teams share,
+// however long their asks have waited.
+type ranks [ml.Lengths]rank
+
+func (qu *queue) ranks(now time.Time) ranks {
+	out := ranks{}
+	for le := range out {
+		out[le] = rank{value: le, oldest: now}
+	}
+	for _, as := range qu.asks {
+		if ra := &out[as.Length]; as.arrived.Before(ra.oldest) {
+			ra.oldest = as.arrived
+			ra.value = int(as.Length) - int(now.Sub(as.arrived)/ageing)
+		}
+	}
+	return out
 }
 
-// rank orders asks: the length, less one for each ageing interval waited.
-func rank(now time.Time, as Ask) int {
-	return int(as.Length) - int(now.Sub(as.arrived)/ageing)
+// compare tells which of two asks goes first: by the ranks of their lengths,
+// then by the virtual times of their teams.
+func (ra ranks) compare(a, b Ask) int {
+	x, y := ra[a.Length], ra[b.Length]
+	return cmp.Or(
+		cmp.Compare(x.value, y.value), x.oldest.Compare(y.oldest), cmp.Compare(a.Length, b.Length),
+		cmp.Compare(a.start, b.start), a.Deadline.Compare(b.Deadline),
+	)
 }
 
 // expired removes and returns the asks that can't be complete in time.
@@ -104,8 +145,9 @@
 // one. Those of other teams that have had more than their share don't.
 func (qu *queue) before(now time.Time, as Ask) (asks int, tokens ml.Tokens) {
 	as.start = qu.startOf(as.Team)
+	ra := qu.ranks(now)
 	for _, other := range qu.asks {
-		if order(now, other, as) <= 0 {
+		if ra.compare(other, as) <= 0 {
 			asks++
 			tokens += max(other.Prompt-other.Cached, 0)
 		}
@@ -117,13 +159,13 @@
 // new one.
 func (qu *queue) displace(now time.Time, as Ask) (Ask, bool) {
 	as.start = qu.startOf(as.Team)
-	last := 0
+	ra, last := qu.ranks(now), 0
 	for i := range qu.asks {
-		if order(now, qu.asks[i], qu.asks[last]) > 0 {
+		if ra.compare(qu.asks[i], qu.asks[last]) > 0 {
 			last = i
 		}
 	}
-	if order(now, qu.asks[last], as) <= 0 {
+	if ra.compare(qu.asks[last], as) <= 0 {
 		return Ask{}, false
 	}
 	out := qu.asks[last]
--- a/internal/proof/prover/fleet_test.go
+++ b/internal/proof/prover/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -125,14 +126,25 @@
 	return string(fl.file.VMs.Entries[n-1].ID)
 }
 
-// freePorts returns ports that nothing listens on now.
+// freePorts returns ports that nothing listens on now. They are below those
+// that outgoing connections get, one of which could otherwise take the port of a
+// process while it is down.
 func freePorts(n int) []string {
-	out := make([]string, n)
-	for i := range out {
-		li, err := net.Listen("tcp", "127.0.0.1:0")
-		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	const lowest, highest = 10_000, 32_000
+	out := make([]string, 0, n)
+	port := lowest + rand.IntN(highest-lowest)
+	for tries := 0; len(out) < n; tries++ {
+		gomega.Expect(tries).To(gomega.BeNumerically("<", highest-lowest), "no free ports")
+		port++
+		if port >= highest {
+			port = lowest
+		}
+		li, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
 		defer li.Close()
-		out[i] = li.Addr().String()
+		out = append(out, li.Addr().String())
 	}
 	return out
 }
--- a/internal/proof/prover/soak_failures_test.go
+++ b/internal/proof/prover/soak_failures_test.go
@@ -39,12 +39,14 @@
 
 func fixed(name string) func(*soak) string { return func(*soak) string { return name } }
 
-// gone tells whether a process has ended by itself, as an engine does that was
-// overloaded while cold. The platform counts those.
+// gone tells whether a process has ended by itself, which none may do.
 func (so *soak) gone(at string) bool {
+	pr := so.fl.processes[at]
 	select {
-	case <-so.fl.processes[at].done:
-		so.trace = append(so.trace, at+" has ended by itself")
+	case <-pr.done:
+		const tail = 1000 // bytes of its log
+		text := pr.log.String()
+		so.surprises = append(so.surprises, fmt.Sprintf("%s has ended by itself: %v: %s", at, pr.cmd.ProcessState, text[max(len(text)-tail, 0):]))
 		return true
 	default:
 		return false
@@ -77,12 +79,19 @@
 }
 
 func stopped(so *soak, at string) func() {
-	so.locked(func() { so.fl.signal(at, syscall.SIGTERM) })
+	wanted := 0 // exit status
+	so.locked(func() {
+		if so.gone(at) {
+			wanted = so.fl.processes[at].cmd.ProcessState.ExitCode()
+			return
+		}
+		so.fl.signal(at, syscall.SIGTERM)
+	})
 	return func() {
 		pr := so.fl.processes[at]
 		<-pr.done
 		so.locked(func() {
-			gomega.Expect(so.fl.wait(at)).To(gomega.Equal(0))
+			gomega.Expect(so.fl.wait(at)).To(gomega.Equal(wanted))
 			so.fl.start(at)
 		})
 	}
--- a/internal/proof/prover/soak_test.go
+++ b/internal/proof/prover/soak_test.go
@@ -35,12 +35,13 @@
 	rng   *rand.Rand
 	start time.Time
 
-	mu       sync.Mutex
-	busy     map[string]bool // what a failure under way has touched
-	injected map[string]int
-	trace    []string
-	chaosNow recorder.Chaos
-	checks   map[string]map[auditor.Invariant]int // by process
+	mu        sync.Mutex
+	busy      map[string]bool // what a failure under way has touched
+	injected  map[string]int
+	trace     []string
+	surprises []string // processes that ended by themselves
+	chaosNow  recorder.Chaos
+	checks    map[string]map[auditor.Invariant]int // by process
 }
 
 func anyDomain(so *soak) string { return fmt.Sprintf("d%d", 1+so.rng.IntN(so.fl.size.domains)) }
@@ -237,6 +238,12 @@
 			fl: fl, rng: rand.New(rand.NewPCG(seed, 11)), start: time.Now(), busy: make(map[string]bool),
 			injected: make(map[string]int), checks: make(map[string]map[auditor.Invariant]int),
 		}
+		defer func() {
+			if file := os.Getenv("TRACE"); file != "" {
+				fl.stop()
+				_ = os.WriteFile(file, []byte(strings.Join(append(so.trace, so.surprises...), "\n")+"\n"+fl.logs()), 0o600)
+			}
+		}()
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go so.loopCount(ctx)
@@ -258,9 +265,7 @@
 		fl.stop()
 		violations, runs := fl.violations(), checkRuns(fl, results)
 		fmt.Printf("soak of %s, seed %d, %v\n%s\n", env("FLEET", "tinjau"), seed, length, so.table(results, violations, fl.logs()))
-		if file := os.Getenv("TRACE"); file != "" {
-			_ = os.WriteFile(file, []byte(strings.Join(so.trace, "\n")+"\n"+fl.logs()), 0o600)
-		}
+		gomega.Expect(so.surprises).To(gomega.BeEmpty())
 		gomega.Expect(violations).To(gomega.BeEmpty())
 		gomega.Expect(runs).To(gomega.BeEmpty())
 		gomega.Expect(held).To(gomega.BeEmpty(), "memory still held")
