fix: a long prompt that waits for another's turn holds up nothing

A long prompt waits mostly for another long one's prefill, or for the long prompts' share of memory, which nothing shorter takes; it held up all the same. Also: one rendezvous hash in the lessor instead of two; a stream adopted by another VM goes by an owner heard of lately or the likely one.

--- a/internal/decision/granter/granter.go
+++ b/internal/decision/granter/granter.go
@@ -208,7 +208,7 @@
 	case as.Length < ml.Long && float64(alike) > gr.rate*backlogTime.Seconds():
 		return needsTurn
 	case as.Length >= ml.Long && (longPrefill || (long > 0 && float64(long+as.Memory) > gr.LongShare*float64(gr.Endpoint.Memory))):
-		return needsRoom
+		return needsTurn
 	default:
 		return room(memory <= gr.Endpoint.Memory)
 	}
--- a/internal/decision/granter/queue.go
+++ b/internal/decision/granter/queue.go
@@ -44,8 +44,8 @@
 
 const (
 	fitsNow   fit = iota
-	needsTurn     // for prompts of its length that the engine has before it
-	needsRoom     // for requests or memory to be given back
+	needsTurn     // for what the engine has of its length; others may pass
+	needsRoom     // for requests or memory that others would take, too
 )
 
 // next removes and returns the first ask that fits.
--- a/internal/decision/lessor/lessor.go
+++ b/internal/decision/lessor/lessor.go
@@ -124,19 +124,16 @@
 
 // winner works the rendezvous hash out over all contenders.
 func (le *Lessor) winner(now time.Time, ep ml.EndpointID) ml.VMID {
-	best, top := ml.VMID(""), uint64(0)
+	among := make([]ml.VMID, 0, len(le.members)+1)
 	if !le.leaving {
-		best, top = le.Self, score(le.Self, ep)
+		among = append(among, le.Self)
 	}
 	for id, me := range le.members {
-		if !le.alive(now, me) || me.leaving {
-			continue
-		}
-		if sc := score(id, ep); best == "" || sc > top || (sc == top && id > best) {
-			best, top = id, sc
+		if le.alive(now, me) && !me.leaving {
+			among = append(among, id)
 		}
 	}
-	return best
+	return Winner(among, ep)
 }
 
 // Watch updates since when this VM owns each of eps. It must be called at
--- a/internal/duty/holder/holder.go
+++ b/internal/duty/holder/holder.go
@@ -25,6 +25,9 @@
 	maxBatch = 256
 	// tellTimeout bounds one message.
 	tellTimeout = time.Second
+	// knownFor is the time for which an owner that was heard of counts as
+	// known to a holder that did not ask it itself.
+	knownFor = 3 * time.Second
 	// answerMargin is added to the wait for an owner's answer.
 	answerMargin = time.Second
 )
@@ -264,7 +267,7 @@
 
 // Adopt answers for a grant that another VM, now gone, had asked for.
 func (ho *Holder) Adopt(ep ml.Endpoint, id ml.GrantID, in ml.Incarnation) *Held {
-	he := &Held{ID: id, Endpoint: ep, Incarnation: in, holder: ho}
+	he := &Held{ID: id, Endpoint: ep, Incarnation: in, holder: ho, asked: time.Now().Add(-knownFor)}
 	ho.mu.Lock()
 	ho.held[id] = he
 	ho.mu.Unlock()
--- a/internal/proof/prover/soak_test.go
+++ b/internal/proof/prover/soak_test.go
@@ -239,6 +239,9 @@
 			injected: make(map[string]int), checks: make(map[string]map[auditor.Invariant]int),
 		}
 		defer func() {
+			if len(so.surprises) > 0 {
+				fmt.Println(strings.Join(so.surprises, "\n"))
+			}
 			if file := os.Getenv("TRACE"); file != "" {
 				fl.stop()
 				_ = os.WriteFile(file, []byte(strings.Join(append(so.trace, so.surprises...), "\n")+"\n"+fl.logs()), 0o600)
