fix: keep the virtual times of teams for each length by itself

A large team's short request begins after all that the team has waiting and is served first; the present jumped there, and a small team's next medium prompt began behind all of them. Before: the script fair granted m2 instead of small, seen red. After: small. The script order has other expectations where a team's long prompt counted against its short ones; it goes on to the same end, a long prompt that has waited long before new short ones.

--- a/internal/decision/granter/queue.go
+++ b/internal/decision/granter/queue.go
@@ -15,8 +15,14 @@
 // teams share by weight, and long waits move up.
 type queue struct {
 	asks  []Ask
-	teams map[ml.TeamID]float64 // virtual time up to which a team was served
-	clock float64               // virtual time of the ask served last
+	lines [ml.Lengths]line
+}
+
+// line holds the virtual times of one length. Each length has its own: shorter
+// asks are served first, and must not move a team's longer ones.
+type line struct {
+	teams map[ml.TeamID]float64 // up to which a team was served
+	clock float64               // of the ask served last
 }
 
 func (qu *queue) len() int { return len(qu.asks) }
@@ -24,20 +30,24 @@
 // push adds an ask at its team's virtual time: a team with twice the weight
 // advances half as fast, and one that was idle starts at the present.
 func (qu *queue) push(as Ask) {
-	if qu.teams == nil {
-		qu.teams = make(map[ml.TeamID]float64)
+	li := &qu.lines[as.Length]
+	if li.teams == nil {
+		li.teams = make(map[ml.TeamID]float64)
 	}
 	weight := as.Weight
 	if weight <= 0 {
 		weight = 1
 	}
-	as.start = qu.startOf(as.Team)
-	qu.teams[as.Team] = as.start + float64(as.Prompt+1)/weight
+	as.start = qu.startOf(as)
+	li.teams[as.Team] = as.start + float64(as.Prompt+1)/weight
 	qu.asks = append(qu.asks, as)
 }
 
-// startOf returns the virtual time at which a new ask of a team begins.
-func (qu *queue) startOf(id ml.TeamID) float64 { return max(qu.clock, qu.teams[id]) }
+// startOf returns the virtual time at which a new ask begins.
+func (qu *queue) startOf(as Ask) float64 {
+	li := qu.lines[as.Length]
+	return max(li.clock, li.teams[as.Team])
+}
 
 // fit tells whether an ask can be granted, or what it waits for.
 type fit int
@@ -65,7 +75,8 @@
 		switch {
 		case what == fitsNow:
 			qu.asks = slices.Delete(qu.asks, i, i+1)
-			qu.clock = max(qu.clock, as.start)
+			li := &qu.lines[as.Length]
+			li.clock = max(li.clock, as.start)
 			return as, true
 		case what == needsTurn:
 			waitsForTurn[as.Length] = true
@@ -144,7 +155,7 @@
 // before counts the asks, and their prompt tokens, that would go before a new
 // one. Those of other teams that have had more than their share don't.
 func (qu *queue) before(now time.Time, as Ask) (asks int, tokens ml.Tokens) {
-	as.start = qu.startOf(as.Team)
+	as.start = qu.startOf(as)
 	ra := qu.ranks(now)
 	for _, other := range qu.asks {
 		if ra.compare(other, as) <= 0 {
@@ -158,7 +169,7 @@
 // displace removes and returns the ask that would go last, if it goes after a
 // new one.
 func (qu *queue) displace(now time.Time, as Ask) (Ask, bool) {
-	as.start = qu.startOf(as.Team)
+	as.start = qu.startOf(as)
 	ra, last := qu.ranks(now), 0
 	for i := range qu.asks {
 		if ra.compare(qu.asks[i], qu.asks[last]) > 0 {
@@ -185,6 +196,5 @@
 
 // forgetTeams drops the history of teams when nothing is waiting.
 func (qu *queue) forgetTeams() {
-	clear(qu.teams)
-	qu.clock = 0
+	qu.lines = [ml.Lengths]line{}
 }
