--- /dev/null
+++ b/exchange.go
@@ -0,0 +1,128 @@
+package mulberrylever
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Outgoing is a request on its way to an endpoint. Header holds what the caller
+// sent and concerns more than one connection.
+type Outgoing struct {
+	Method   string
+	URI      string // path and query, as the caller sent them
+	Host     string
+	Header   http.Header
+	Body     []byte
+	Attempt  AttemptID
+	Team     TeamID
+	Left     time.Duration // until the caller gives up
+	Priority Priority
+	After    EventID // a stream goes on after this event; 0 for the beginning
+	Helpers  []Helper
+}
+
+// Answer is an endpoint's answer. It must be closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	Length int64 // of the body; -1 when unknown
+	Body   io.Reader
+	Sealed bool // bears the endpoint's receipt
+	NotRun bool // the endpoint states that it has not run the request
+	Gone   bool // another endpoint has the address
+	Close  func()
+}
+
+// Exchanger passes requests on to endpoints unchanged.
+type Exchanger interface {
+	// Exchange sends a request and returns once the head of the answer has
+	// come. NotRun on its *Error tells whether the endpoint may have run it.
+	Exchange(ctx context.Context, ep ListedEndpoint, out *Outgoing) (*Answer, error)
+	// SetAside asks an engine to keep memory for a ticket. Repeating it renews
+	// the ticket.
+	SetAside(ctx context.Context, ep ListedEndpoint, id TicketID, memory Tokens, term time.Duration) error
+	// GiveBack ends a ticket.
+	GiveBack(ctx context.Context, ep ListedEndpoint, id TicketID) error
+}
+
+// Responder answers a caller.
+type Responder interface {
+	// Begin sends the head of an answer. A length of -1 means unknown.
+	Begin(status int, header http.Header, length int64) error
+	// Write sends a part of the body at once.
+	Write(part []byte) error
+	// Refuse answers with a status of our own.
+	Refuse(rf Refusal)
+	// Abort ends the connection so that the answer does not look complete.
+	Abort()
+}
+
+// Refusal is an answer of our own in place of an endpoint's.
+type Refusal struct {
+	Status     int
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// KeyRecord is the newest value of a key in the platform's store.
+type KeyRecord struct {
+	Topic  TopicName `json:"topic"`
+	Key    string    `json:"key"`
+	Value  []byte    `json:"value,omitempty"` // nil for a deleted key
+	Offset Offset    `json:"offset"`
+}
+
+// TopicName names a topic of the platform's store.
+type TopicName string
+
+// Shared is what an entry VM tells the others: changes of what it has under
+// way, and from time to time all of it.
+type Shared struct {
+	From    VMID                 `json:"from"`
+	Address string               `json:"address"` // of the sender, for other entry VMs
+	Whole   bool                 `json:"whole,omitempty"`
+	Flights []SharedFlight       `json:"flights,omitempty"`
+	Began   []FlightID           `json:"began,omitempty"`
+	Ended   []FlightID           `json:"ended,omitempty"`
+	Failed  []EndpointID         `json:"failed,omitempty"` // an endpoint failed a request
+	Known   []string             `json:"known,omitempty"`  // addresses of entry VMs that the sender hears
+	Heads   map[TopicName]Offset `json:"heads,omitempty"`  // how far the sender has read
+	Leaving bool                 `json:"leaving,omitempty"`
+}
+
+// SharedFlight is a flight as told to other entry VMs. Times are milliseconds
+// before the message was made, since clocks differ.
+type SharedFlight struct {
+	ID        FlightID   `json:"i"`
+	Endpoint  EndpointID `json:"e"`
+	SentMs    int64      `json:"s"`
+	BeganMs   int64      `json:"b,omitempty"` // 0: the prompt is being read
+	ReadingUs int64      `json:"r"`
+	WritingMs int64      `json:"w"`
+	Memory    Tokens     `json:"m"`
+	FirstMs   int64      `json:"f"` // until the objective for the first event
+	GapMs     int64      `json:"g"`
+	Worth     float64    `json:"v"`
+	Helper    bool       `json:"h,omitempty"`
+}
+
+// SharePeers reaches other entry VMs for what they share.
+type SharePeers interface {
+	// Share tells a peer. The peer answers with how far it has read.
+	Share(ctx context.Context, address string, sh Shared) (ShareAck, error)
+	// Records asks a peer for the records that it has read after the offsets.
+	Records(ctx context.Context, address string, after map[TopicName]Offset) ([]KeyRecord, error)
+}
+
+// ShareAck answers what was shared.
+type ShareAck struct {
+	Heads map[TopicName]Offset `json:"heads,omitempty"`
+}
+
+// ShareHandler answers other entry VMs.
+type ShareHandler interface {
+	OnShare(sh Shared) ShareAck
+	OnRecords(after map[TopicName]Offset) []KeyRecord
+}
--- a/internal/adapter/messenger/messenger.go
+++ b/internal/adapter/messenger/messenger.go
@@ -24,15 +24,20 @@
 	methodReserve   = "reserve"
 	methodTell      = "tell"
 	methodState     = "state"
+	methodShare     = "share"
+	methodRecords   = "records"
 )
 
 // dialTimeout bounds the wait for a connection to a peer.
 const dialTimeout = time.Second
 
-// Messenger sends messages. It implements ml.Peers.
+// Messenger sends messages. It implements ml.Peers and ml.SharePeers.
 type Messenger struct {
 	TLS    *tls.Config // nil for plain TCP
 	Source requester.Source
+	// Fickle gives up a connection on which a call was not answered in time,
+	// since it may have gone silent.
+	Fickle bool
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -78,6 +83,20 @@
 	return ns, err
 }
 
+// Share implements ml.SharePeers.
+func (me *Messenger) Share(ctx context.Context, address string, sh ml.Shared) (ml.ShareAck, error) {
+	ack := ml.ShareAck{}
+	err := me.call(ctx, address, methodShare, sh, &ack)
+	return ack, err
+}
+
+// Records implements ml.SharePeers.
+func (me *Messenger) Records(ctx context.Context, address string, after map[ml.TopicName]ml.Offset) ([]ml.KeyRecord, error) {
+	out := []ml.KeyRecord{}
+	err := me.call(ctx, address, methodRecords, after, &out)
+	return out, err
+}
+
 // Close closes all connections.
 func (me *Messenger) Close() {
 	me.mu.Lock()
@@ -95,7 +114,7 @@
 		return wrap(method, address, err)
 	}
 	err = conn.Call(ctx, method, in, out)
-	if errors.Is(err, jsonrpc2.ErrClosed) {
+	if errors.Is(err, jsonrpc2.ErrClosed) || errors.Is(err, context.DeadlineExceeded) && me.Fickle {
 		me.drop(address, conn)
 	}
 	if err != nil {
@@ -174,7 +193,8 @@
 
 // Server answers other entry VMs.
 type Server struct {
-	Handler ml.PeerHandler
+	Handler ml.PeerHandler  // nil where entry VMs only share
+	Sharing ml.ShareHandler // nil where they don't
 }
 
 // Serve accepts connections until the listener is closed.
@@ -184,7 +204,7 @@
 		if err != nil {
 			return fmt.Errorf("accept peers: %w", err)
 		}
-		jsonrpc2.NewConn(context.Background(), stream(nc), (&session{handler: se.Handler}))
+		jsonrpc2.NewConn(context.Background(), stream(nc), &session{handler: se.Handler, sharing: se.Sharing})
 	}
 }
 
@@ -192,10 +212,37 @@
 // order they arrive; reservations may wait and get a goroutine each.
 type session struct {
 	handler ml.PeerHandler
+	sharing ml.ShareHandler
 }
 
 // Handle implements jsonrpc2.Handler.
 func (ss *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
+	switch {
+	case ss.sharing != nil && (rq.Method == methodShare || rq.Method == methodRecords):
+		ss.handleSharing(ctx, conn, rq)
+	case ss.handler != nil:
+		ss.handlePeer(ctx, conn, rq)
+	default:
+		_ = conn.ReplyWithError(ctx, rq.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: rq.Method})
+	}
+}
+
+func (ss *session) handleSharing(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
+	switch rq.Method {
+	case methodShare:
+		sh := ml.Shared{}
+		if decode(ctx, conn, rq, &sh) {
+			_ = conn.Reply(ctx, rq.ID, ss.sharing.OnShare(sh))
+		}
+	case methodRecords:
+		after := map[ml.TopicName]ml.Offset{}
+		if decode(ctx, conn, rq, &after) {
+			_ = conn.Reply(ctx, rq.ID, ss.sharing.OnRecords(after))
+		}
+	}
+}
+
+func (ss *session) handlePeer(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
 	switch rq.Method {
 	case methodHeartbeat:
 		hb := ml.Heartbeat{}
--- a/internal/adapter/requester/requester.go
+++ b/internal/adapter/requester/requester.go
@@ -14,6 +14,7 @@
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/dialer"
 )
 
 // maxAnswer bounds an answer in bytes.
@@ -24,7 +25,7 @@
 
 // Dialer returns a dialer from the source.
 func (so Source) Dialer(timeout time.Duration) *net.Dialer {
-	di := &net.Dialer{Timeout: timeout, KeepAlive: 15 * time.Second}
+	di := dialer.New(timeout)
 	if so != nil {
 		di.LocalAddr = &net.TCPAddr{IP: net.IP(so)}
 	}
--- a/internal/command/commander/commander.go
+++ b/internal/command/commander/commander.go
@@ -14,6 +14,7 @@
 	"github.com/mulberrylever/mulberrylever/internal/command/operator"
 	"github.com/mulberrylever/mulberrylever/internal/command/server"
 	"github.com/mulberrylever/mulberrylever/internal/setting/loader"
+	"github.com/mulberrylever/mulberrylever/platform"
 )
 
 // The exit codes.
@@ -73,6 +74,7 @@
 
 func (co *Commander) addCommands(pa *flags.Parser) {
 	add(pa.Command, "serve", "run an entry VM's process", &serveCommand{release: co.Release})
+	add(pa.Command, "front", "run an entry VM's process on the users' platform", &frontCommand{release: co.Release})
 	add(pa.Command, "check", "check a file of settings or configuration", &checkCommand{})
 	config := add(pa.Command, "config", "show and change the fleet-wide configuration", &struct{}{})
 	add(config, "show", "print the configuration in force", &configShowCommand{})
@@ -117,6 +119,22 @@
 	return sv.Run(context.Background())
 }
 
+type frontCommand struct {
+	MetricsPort int `long:"metrics-port" description:"port of the metrics; 0 for none"`
+	release     string
+}
+
+// Execute runs the entry VM's process with the settings that the platform
+// hands over.
+func (fr *frontCommand) Execute([]string) error {
+	ss, err := platform.Load()
+	if err != nil {
+		return err
+	}
+	sv := &platform.Server{Settings: ss, Release: fr.release, MetricsPort: fr.MetricsPort}
+	return sv.Run(context.Background())
+}
+
 type versionCommand struct {
 	release string
 }
--- a/internal/decision/budgeter/budgeter.go
+++ b/internal/decision/budgeter/budgeter.go
@@ -4,21 +4,24 @@
 package budgeter
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"time"
 )
 
-// burst is the number of retries allowed at once.
-const burst = 20
+// defaultBurst is the number of retries allowed at once.
+const defaultBurst = 20
 
 // maxDelay bounds the wait before a retry.
 const maxDelay = 2 * time.Second
 
 // Budgeter counts requests and retries. The zero value has a full budget.
 type Budgeter struct {
+	Burst float64 // retries allowed at once; zero for the default
+
 	mu    sync.Mutex
-	spent float64 // retries beyond the share, at most burst
+	spent float64 // retries beyond the share, at most the burst
 }
 
 // Admitted records a request, which earns a share of a retry.
@@ -32,7 +35,7 @@
 func (bu *Budgeter) Retry() bool {
 	bu.mu.Lock()
 	defer bu.mu.Unlock()
-	if bu.spent+1 > burst {
+	if bu.spent+1 > cmp.Or(bu.Burst, defaultBurst) {
 		return false
 	}
 	bu.spent++
--- /dev/null
+++ b/internal/decision/placer/group.go
@@ -0,0 +1,249 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/forecaster"
+)
+
+// option is one candidate as a member of a group of a given size.
+type option struct {
+	st    *state
+	cost  float64   // loss at this engine when it begins now
+	clear time.Time // when it could begin without harm
+	after float64   // loss at this engine when it begins then
+}
+
+// try weighs the best group of a size, beginning now and beginning later.
+func (ch *chooser) try(parts int, best, later *Choice) {
+	part := forecaster.Reading(ch.rq.Figures, ch.rq.Prompt, parts)
+	options := make([]option, 0, len(ch.states))
+	for i := range ch.states {
+		options = append(options, ch.option(&ch.states[i], part, parts))
+	}
+	ch.tryNow(options, part, parts, best)
+	ch.tryLater(options, part, parts, later)
+}
+
+func (ch *chooser) tryNow(options []option, part time.Duration, parts int, best *Choice) {
+	open := slices.DeleteFunc(slices.Clone(options), func(op option) bool { return !op.st.fits })
+	if len(open) < parts {
+		return
+	}
+	slices.SortFunc(open, func(a, b option) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), a.st.engine.Free.Compare(b.st.engine.Free), cmp.Compare(a.st.index, b.st.index))
+	})
+	if parts == 1 {
+		for _, op := range open {
+			ch.keep([]option{op}, part, op.st.engine.Free, best, func(op option) float64 { return op.cost })
+		}
+		return
+	}
+	members := open[:parts]
+	start := ch.now
+	for _, op := range members {
+		if op.st.engine.Free.After(start) {
+			start = op.st.engine.Free
+		}
+	}
+	ch.keep(members, part, start, best, func(op option) float64 { return op.cost })
+}
+
+// tryLater weighs a group that begins as soon as its members are clear of what
+// would be harmed.
+func (ch *chooser) tryLater(options []option, part time.Duration, parts int, later *Choice) {
+	open := slices.DeleteFunc(slices.Clone(options), func(op option) bool { return op.st.Closed })
+	if len(open) < parts {
+		return
+	}
+	slices.SortFunc(open, func(a, b option) int {
+		return cmp.Or(a.clear.Compare(b.clear), cmp.Compare(a.after, b.after), cmp.Compare(a.st.index, b.st.index))
+	})
+	members := open[:parts]
+	ch.keep(members, part, members[parts-1].clear, later, func(op option) float64 { return op.after })
+}
+
+// keep replaces best when the members do better.
+func (ch *chooser) keep(members []option, part time.Duration, start time.Time, best *Choice, cost func(option) float64) {
+	lead, share := ch.lead(members)
+	if lead < 0 {
+		return
+	}
+	en := &members[lead].st.engine
+	first := start.Add(part + ch.firstPass(en))
+	loss := ch.selfLoss(first) + partCost*float64(len(members)-1)
+	for _, op := range members {
+		loss += cost(op)
+	}
+	if best.Lead >= 0 && loss >= best.Loss {
+		return
+	}
+	seen := best.Seen
+	*best = Choice{Lead: members[lead].st.index, Share: share, First: first, Loss: loss, Seen: seen}
+	for i, op := range members {
+		if i != lead {
+			best.Helpers = append(best.Helpers, op.st.index)
+		}
+	}
+}
+
+// lead returns the member that answers, with as few answers under way as
+// possible, and the memory that each helper has to set aside when it can't hold
+// the whole prompt.
+func (ch *chooser) lead(members []option) (int, ml.Tokens) {
+	lead := -1
+	for i, op := range members {
+		if ch.room(op) < ch.memory {
+			continue
+		}
+		if lead < 0 || len(op.st.engine.Writers) < len(members[lead].st.engine.Writers) {
+			lead = i
+		}
+	}
+	if lead >= 0 || len(members) == 1 {
+		return lead, 0
+	}
+	return ch.sharedLead(members)
+}
+
+// sharedLead returns the member with the most room, when all together have
+// room for the prompt in even parts.
+func (ch *chooser) sharedLead(members []option) (int, ml.Tokens) {
+	lead := 0
+	share := ch.memory/ml.Tokens(len(members)) + 1
+	for i, op := range members {
+		if ch.room(op) < share {
+			return -1, 0
+		}
+		if ch.room(op) > ch.room(members[lead]) {
+			lead = i
+		}
+	}
+	return lead, share
+}
+
+// room returns the memory of an engine that a prompt may take.
+func (ch *chooser) room(op option) ml.Tokens {
+	return ml.Tokens(memoryPart*float64(ch.rq.Figures.Memory)) - op.st.engine.Memory
+}
+
+// firstPass returns the time from the end of reading to the first event.
+func (ch *chooser) firstPass(en *forecaster.Engine) time.Duration {
+	pass := forecaster.Pass(ch.rq.Figures, len(en.Writers)+1, en.Context+ch.memory)
+	if len(en.Writers) == 0 {
+		return pass
+	}
+	return pass + pass/2 // what is left of the pass under way
+}
+
+// option predicts what a part of the prompt costs at one engine.
+func (ch *chooser) option(st *state, part time.Duration, parts int) option {
+	op := option{st: st, clear: st.engine.Free}
+	if !st.fits && !st.Closed {
+		op.clear = later(op.clear, firstEnd(&st.engine))
+	}
+	base := ch.rq.Worth * failLoss * st.Failing
+	if st.Endpoint.Domain != ch.rq.Domain {
+		base += farCost
+	}
+	if !ch.beside(&st.engine) {
+		base += freshCost
+	}
+	op.cost = base + ch.pauses(st, part, &op.clear) + ch.delays(st, part, parts)
+	op.after = base
+	return op
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// firstEnd returns when the first place of an engine is predicted to be free.
+func firstEnd(en *forecaster.Engine) time.Time {
+	end := en.Free
+	for _, fl := range en.Writers {
+		if at := fl.Began.Add(fl.Writing); at.Before(end) || end.Equal(en.Free) {
+			end = at
+		}
+	}
+	return end
+}
+
+// beside tells whether the engine already has work with a pause objective as
+// short as this prompt's, so that nothing is lost by adding more of it.
+func (ch *chooser) beside(en *forecaster.Engine) bool {
+	for _, fl := range en.Writers {
+		if fl.Gap <= ch.rq.Gap {
+			return true
+		}
+	}
+	for _, re := range en.Readers {
+		if !re.Flight.Helper && re.Flight.Gap <= ch.rq.Gap {
+			return true
+		}
+	}
+	return false
+}
+
+// pauses returns the loss of those whose answers pause longer because a part
+// is read beside them. It puts off clear until they have ended.
+func (ch *chooser) pauses(st *state, part time.Duration, clear *time.Time) float64 {
+	en := &st.engine
+	if len(en.Writers) == 0 {
+		return 0
+	}
+	pass := forecaster.Pass(ch.rq.Figures, len(en.Writers), en.Context)
+	most := forecaster.MostRead(ch.rq.Figures, ch.rq.Prompt, forecaster.Reading(ch.rq.Figures, ch.rq.Prompt, 1))
+	without := pass + min(en.Backlog(ch.now), most)
+	with := pass + min(en.Backlog(ch.now)+part, max(most, without-pass))
+	loss := 0.0
+	for _, fl := range en.Writers {
+		if fl.Gap <= 0 {
+			continue
+		}
+		worse := over(with, fl.Gap) - over(without, fl.Gap)
+		if worse <= 0 {
+			continue
+		}
+		loss += lateLoss * fl.Worth * worse
+		if end := fl.Began.Add(fl.Writing); end.After(*clear) {
+			*clear = end
+		}
+	}
+	return loss
+}
+
+// over returns how likely a pause is to miss its objective.
+func over(pause, gap time.Duration) float64 {
+	return ramp(float64(pause)/float64(gap), likely, unlikely)
+}
+
+// delays returns the loss of those whose prompts are read later because of a
+// part. Parts of a group are read ahead of whole prompts.
+func (ch *chooser) delays(st *state, part time.Duration, parts int) float64 {
+	by := part
+	if parts == 1 {
+		by = time.Duration(joinDelay * float64(part))
+	}
+	loss := 0.0
+	for _, re := range st.engine.Readers {
+		off := float64(max(time.Duration(slackShare*float64(re.Done.Sub(ch.now))), slackLeast))
+		pass := forecaster.Pass(ch.rq.Figures, 1, re.Flight.Memory)
+		slack := re.Done.Add(pass).Sub(re.Flight.FirstBy)
+		loss += lateLoss * re.Flight.Worth * (ramp(float64(slack+by), -off, off) - ramp(float64(slack), -off, off))
+	}
+	return loss
+}
+
+// Worth returns what an answer is worth to its caller: it grows with the work
+// that the caller has put in.
+func Worth(prompt ml.Tokens) float64 {
+	const least, perToken = 1.0, 1.0 / 8000
+	return least + perToken*float64(prompt)
+}
--- /dev/null
+++ b/internal/decision/placer/placer.go
@@ -0,0 +1,166 @@
+// Package placer decides which engine takes a prompt, or which engines read it
+// together, or that it waits: by the least loss that is predicted for this
+// caller and for those whose work the engines already have.
+package placer
+
+import (
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/forecaster"
+)
+
+const (
+	// lateLoss is the share of an answer's worth that is lost when it is late.
+	lateLoss = 0.75
+	// failLoss is the share of its worth that a failed attempt costs, since
+	// another attempt may still serve it.
+	failLoss = 0.8
+	// memoryPart is the part of an engine's memory that is planned with.
+	memoryPart = 0.94
+	// joinDelay is the share of a prompt's reading by which it delays prompts
+	// that the engine already reads.
+	joinDelay = 0.4
+	// freshCost is the loss that stands for taking an engine without other
+	// work of this kind away from prompts that need one.
+	freshCost = 0.12
+	// partCost is the loss that stands for each further engine of a group.
+	partCost = 0.04
+	// waitCost is the share of its worth that waiting must save.
+	waitCost = 0.04
+	// farCost stands for the bytes to another failure domain.
+	farCost = 0.002
+	// lostShare is the share of its worth from which a prompt counts as lost.
+	lostShare = 0.97
+	// certain and likely bound the ratio of a pause to its objective between
+	// which keeping the objective turns from certain to unlikely.
+	likely, unlikely = 0.8, 1.15
+	// slackShare and slackLeast tell how far a prediction may be off.
+	slackShare = 0.15
+	slackLeast = 15 * time.Millisecond
+	// retryLeast and retryMost bound the time after which a caller is asked to
+	// come again.
+	retryLeast, retryMost = 100 * time.Millisecond, 5 * time.Second
+)
+
+// Request is a prompt to be placed.
+type Request struct {
+	Figures *ml.EngineFigures
+	Prompt  ml.Tokens
+	Answer  ml.Tokens     // expected
+	FirstBy time.Time     // objective for the first event
+	GiveUp  time.Time     // the caller does not wait longer for it
+	Gap     time.Duration // objective for the pause between events
+	Worth   float64
+	Domain  ml.DomainID // where the caller entered
+}
+
+// Candidate is an engine that may take the prompt.
+type Candidate struct {
+	Endpoint ml.ListedEndpoint
+	Flights  []ml.Flight
+	Failing  float64 // share of requests that it is expected to fail
+	Closed   bool    // must not get anything now, as by the limit while it is cold
+}
+
+// Choice is what was decided.
+type Choice struct {
+	Lead    int       // index of the candidate that answers; -1 for none
+	Helpers []int     // indexes of candidates that read parts
+	Share   ml.Tokens // memory needed at each helper; 0 when the lead holds all
+	First   time.Time
+	Loss    float64 // predicted, of the caller and others
+	Wait    bool    // better later than now
+	Lost    bool    // can't be served in time
+	Retry   time.Duration
+	Seen    int // candidates that could take it
+}
+
+// state is a candidate with what is predicted of it.
+type state struct {
+	Candidate
+	index  int
+	engine forecaster.Engine
+	fits   bool
+}
+
+// Choose decides where a prompt goes at now.
+func Choose(now time.Time, rq *Request, candidates []Candidate) Choice {
+	ch := chooser{now: now, rq: rq, memory: rq.Prompt + rq.Answer}
+	ch.look(candidates)
+	best := Choice{Lead: -1, Loss: rq.Worth, Seen: ch.open()}
+	later := best
+	for parts := 1; parts <= ch.mostParts(); parts = nextParts(parts) {
+		ch.try(parts, &best, &later)
+	}
+	return ch.decide(best, later)
+}
+
+// nextParts returns the next larger group that is tried.
+func nextParts(parts int) int {
+	if parts < 4 {
+		return parts + 1
+	}
+	return parts + parts/2
+}
+
+// chooser holds one decision.
+type chooser struct {
+	now    time.Time
+	rq     *Request
+	memory ml.Tokens
+	states []state
+}
+
+func (ch *chooser) look(candidates []Candidate) {
+	for i, ca := range candidates {
+		st := state{Candidate: ca, index: i, engine: forecaster.At(ch.now, ca.Flights)}
+		st.fits = !ca.Closed && st.engine.Running() < ch.rq.Figures.Slots
+		ch.states = append(ch.states, st)
+	}
+}
+
+func (ch *chooser) open() int {
+	n := 0
+	for i := range ch.states {
+		if ch.states[i].fits {
+			n++
+		}
+	}
+	return n
+}
+
+// mostParts returns the largest group worth trying: parts much shorter than a
+// pass save nothing.
+func (ch *chooser) mostParts() int {
+	const most, shortest = 16, 60 * time.Millisecond
+	whole := forecaster.Reading(ch.rq.Figures, ch.rq.Prompt, 1)
+	return min(most, len(ch.states), max(1, int(whole/shortest)))
+}
+
+// decide compares the best placement now with the best one later.
+func (ch *chooser) decide(best, later Choice) Choice {
+	worth := ch.rq.Worth
+	if later.Lead >= 0 && later.Loss+waitCost*worth < best.Loss {
+		later.Wait = true
+		best = later
+	}
+	if best.Lead < 0 || ch.selfLoss(best.First) >= lostShare*worth {
+		best.Lost = true
+		best.Retry = min(max(best.First.Sub(ch.rq.GiveUp), retryLeast), retryMost)
+	}
+	return best
+}
+
+// selfLoss returns what the caller loses when its first event comes at first.
+func (ch *chooser) selfLoss(first time.Time) float64 {
+	off := max(time.Duration(slackShare*float64(first.Sub(ch.now))), slackLeast)
+	late := ramp(float64(first.Sub(ch.rq.FirstBy)), -float64(off), float64(off))
+	lost := ramp(float64(first.Sub(ch.rq.GiveUp)), -float64(off), float64(off))
+	return ch.rq.Worth * (lateLoss*late + (1-lateLoss)*lost)
+}
+
+// ramp rises from 0 at low to 1 at high.
+func ramp(x, low, high float64) float64 {
+	return min(max((x-low)/(high-low), 0), 1)
+}
--- /dev/null
+++ b/internal/duty/forwarder/attempt.go
@@ -0,0 +1,152 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+)
+
+const (
+	// maxKept bounds an answer that is read whole before it is passed on, in
+	// bytes. A longer one is passed on while it comes.
+	maxKept = 512 << 10
+	// leadPriority and usualPriority are the priorities at engines of prompts
+	// that must not wait and of the others.
+	shortPriority, usualPriority, longPriority = 2, 5, 7
+	// shortPrompt and longPrompt bound what goes before and after others.
+	shortPrompt, longPrompt ml.Tokens = 24_000, 120_000
+)
+
+// attempt sends a request to where it was placed and passes the answer on.
+func (fo *Forwarder) attempt(ctx context.Context, rq *Request, rs ml.Responder, pl *placement) end {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if err := fo.setAside(ctx, rq, pl); err != nil {
+		return end{notRun: true, reason: "no memory for the prompt", err: err}
+	}
+	defer fo.giveBack(pl)
+	watch := fo.watchFirst(rq, pl, cancel)
+	defer watch.Stop()
+	out := rq.outgoing(pl)
+	sent := time.Now()
+	an, err := fo.Exchanger.Exchange(ctx, pl.lead, out)
+	if err != nil {
+		er := ml.AsError("exchange", err)
+		return end{notRun: er.NotRun, arrived: !er.NotRun, reason: reasonOf(ctx, er), err: err}
+	}
+	defer an.Close()
+	switch {
+	case an.Gone:
+		fo.Catalog.Wrong(pl.lead.ID, pl.lead.Incarnation)
+		return end{notRun: true, arrived: true, reason: "another endpoint has the address"}
+	case an.NotRun:
+		return end{notRun: true, arrived: true, reason: "the endpoint did not run it, status " + strconv.Itoa(an.Status)}
+	case an.Status/100 == 2 && rq.Route.Kind == ml.RouteStream:
+		return fo.stream(ctx, rq, rs, pl, an, watch, sent)
+	}
+	return fo.whole(rq, rs, an)
+}
+
+// outgoing returns the request as it goes to an endpoint.
+func (rq *Request) outgoing(pl *placement) *ml.Outgoing {
+	out := rq.Out
+	out.Header = rq.Out.Header.Clone()
+	out.Left = time.Until(rq.Deadline)
+	out.After = rq.last
+	out.Priority = usualPriority
+	switch {
+	case rq.Prompt < shortPrompt:
+		out.Priority = shortPriority
+	case rq.Prompt > longPrompt:
+		out.Priority = longPriority
+	}
+	out.Helpers = pl.helperList()
+	return &out
+}
+
+// reasonOf names an error of an exchange.
+func reasonOf(ctx context.Context, err error) string {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errSilent):
+		return cause.Error()
+	case cause != nil:
+		return "given up"
+	}
+	return err.Error()
+}
+
+// whole reads an answer to its end and passes it on when it is whole. Failures
+// of the endpoint are kept, in case that nothing better comes.
+func (fo *Forwarder) whole(rq *Request, rs ml.Responder, an *ml.Answer) end {
+	if an.Status/100 == 2 && !an.Sealed {
+		return end{arrived: true, reason: "answer without receipt", err: errUnsealed}
+	}
+	body, err := io.ReadAll(io.LimitReader(an.Body, maxKept))
+	if err != nil {
+		return end{arrived: true, reason: "answer broke off", err: err}
+	}
+	if len(body) == maxKept {
+		return fo.passLong(rq, rs, an, body)
+	}
+	if an.Length >= 0 && an.Length != int64(len(body)) {
+		return end{arrived: true, reason: "answer broke off", err: io.ErrUnexpectedEOF}
+	}
+	ke := &kept{status: an.Status, header: an.Header, body: body}
+	switch {
+	case an.Status >= http.StatusInternalServerError && rq.begun:
+		return end{arrived: true, reason: "status " + strconv.Itoa(an.Status), err: errFailure}
+	case promises(an.Status):
+		return end{arrived: true, reason: "status " + strconv.Itoa(an.Status) + " without a promise", err: errFailure}
+	case an.Status >= http.StatusInternalServerError:
+		return end{arrived: true, reason: "status " + strconv.Itoa(an.Status), err: errFailure, answer: ke}
+	}
+	return end{done: true, arrived: true, reason: fo.passKept(rs, ke)}
+}
+
+// promises tells whether a status promises that nothing has run. An endpoint
+// that does not state so itself must not be passed on with it.
+func promises(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+var (
+	errUnsealed = errors.New("the answer bears no receipt")
+	errFailure  = errors.New("the endpoint answered with a failure")
+)
+
+// passLong passes a long answer on while it comes.
+func (fo *Forwarder) passLong(rq *Request, rs ml.Responder, an *ml.Answer, head []byte) end {
+	rq.begun = true
+	if err := rs.Begin(an.Status, an.Header, an.Length); err != nil {
+		rs.Abort()
+		return end{done: true, arrived: true, reason: "caller left", err: err}
+	}
+	part := head
+	buffer := make([]byte, 32<<10)
+	for {
+		if err := rs.Write(part); err != nil {
+			rs.Abort()
+			return end{done: true, arrived: true, reason: "caller left", err: err}
+		}
+		n, err := an.Body.Read(buffer)
+		part = buffer[:n]
+		if errors.Is(err, io.EOF) {
+			err = rs.Write(part)
+			return end{done: true, arrived: true, reason: strconv.Itoa(an.Status), err: err}
+		}
+		if err != nil {
+			rs.Abort()
+			return end{done: true, arrived: true, reason: "answer broke off", err: fmt.Errorf("read a long answer: %w", err)}
+		}
+	}
+}
--- /dev/null
+++ b/internal/duty/forwarder/queue.go
@@ -0,0 +1,317 @@
+package forwarder
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/forecaster"
+	"github.com/mulberrylever/mulberrylever/internal/decision/placer"
+	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
+)
+
+const (
+	// maxQueue is the number of requests that wait for a place at most.
+	maxQueue = 512
+	// lookAgain is the longest time between two looks at waiting requests.
+	lookAgain = 20 * time.Millisecond
+	// holdShare is the part of its objective for which a request waits while
+	// no endpoint is known at all.
+	holdShare = 8
+)
+
+// lostError tells that a request can't be served in time.
+type lostError struct {
+	why   string
+	retry time.Duration
+}
+
+// Error implements the error interface.
+func (le *lostError) Error() string { return le.why }
+
+// placement is where a request goes.
+type placement struct {
+	lead      ml.ListedEndpoint
+	helpers   []ml.ListedEndpoint
+	flights   []ml.FlightID // the lead's first
+	waited    time.Duration
+	predicted time.Duration // until the first event
+	loss      float64
+	worth     float64
+	seen      int
+	share     ml.Tokens // memory needed at each helper; 0 when the lead holds all
+	tickets   []ticket
+
+	stopTickets context.CancelFunc
+}
+
+// item is a request that waits for a place.
+type item struct {
+	rq      *Request
+	ask     placer.Request
+	since   time.Time
+	urgency time.Time // latest moment at which one engine could begin
+	result  chan<- outcome
+}
+
+type outcome struct {
+	placement *placement
+	err       error
+}
+
+// queue holds the requests that wait.
+type queue struct {
+	mu     sync.Mutex
+	items  []*item
+	signal chan struct{}
+}
+
+// Wake makes the loop look at the waiting requests again.
+func (fo *Forwarder) Wake() {
+	select {
+	case fo.queue.channel() <- struct{}{}:
+	default:
+	}
+}
+
+func (qu *queue) channel() chan struct{} {
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	if qu.signal == nil {
+		qu.signal = make(chan struct{}, 1)
+	}
+	return qu.signal
+}
+
+func (qu *queue) add(it *item) bool {
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	if len(qu.items) >= maxQueue {
+		return false
+	}
+	qu.items = append(qu.items, it)
+	return true
+}
+
+func (qu *queue) remove(it *item) {
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	if at := slices.Index(qu.items, it); at >= 0 {
+		qu.items = slices.Delete(qu.items, at, at+1)
+	}
+}
+
+// sorted returns the waiting requests, the most urgent first; those that are
+// late already come after those that are not.
+func (qu *queue) sorted(now time.Time) []*item {
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	out := slices.Clone(qu.items)
+	slices.SortStableFunc(out, func(a, b *item) int {
+		return cmp.Or(lateness(a, now)-lateness(b, now), a.urgency.Compare(b.urgency))
+	})
+	return out
+}
+
+func lateness(it *item, now time.Time) int {
+	if it.urgency.Before(now) {
+		return 1
+	}
+	return 0
+}
+
+// Waiting returns how many requests wait for a place.
+func (fo *Forwarder) Waiting() int {
+	fo.queue.mu.Lock()
+	defer fo.queue.mu.Unlock()
+	return len(fo.queue.items)
+}
+
+// place finds an endpoint for a request, and waits until it should be sent.
+func (fo *Forwarder) place(ctx context.Context, rq *Request) (*placement, error) {
+	if rq.Route.Kind != ml.RouteStream || rq.Spec == nil || rq.Spec.Engine == nil {
+		return fo.placeService(ctx, rq)
+	}
+	now := time.Now()
+	result := make(chan outcome, 1)
+	ask := placer.Request{
+		Figures: rq.Spec.Engine, Prompt: rq.Prompt, Answer: rq.Answer, FirstBy: rq.FirstBy, GiveUp: rq.GiveUp,
+		Gap: rq.Route.GapTarget, Worth: placer.Worth(rq.Prompt), Domain: fo.Domain,
+	}
+	if rq.begun {
+		ask.FirstBy, ask.GiveUp = now.Add(rq.Route.GapTarget), rq.Deadline
+	}
+	it := &item{rq: rq, ask: ask, since: now, result: result, urgency: ask.FirstBy.Add(-forecaster.Reading(ask.Figures, ask.Prompt, 1))}
+	if !fo.queue.add(it) {
+		return nil, &lostError{why: "too many requests wait", retry: defaultRetry}
+	}
+	fo.Wake()
+	select {
+	case ou := <-result:
+		return ou.placement, ou.err
+	case <-ctx.Done():
+		fo.queue.remove(it)
+		select {
+		case ou := <-result: // placed at the same moment
+			if ou.placement != nil {
+				fo.leave(ou.placement)
+			}
+		default:
+		}
+		return nil, context.Cause(ctx)
+	}
+}
+
+// leave ends the flights of a placement.
+func (fo *Forwarder) leave(pl *placement) {
+	for _, id := range pl.flights {
+		fo.Tracker.End(id)
+	}
+}
+
+// Run looks at the waiting requests whenever something has changed.
+func (fo *Forwarder) Run(ctx context.Context) error {
+	signal := fo.queue.channel()
+	ti := time.NewTimer(lookAgain)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-signal:
+		case <-ti.C:
+		}
+		now := time.Now()
+		fo.look(now)
+		if fo.Waiting() > 0 {
+			ti.Reset(lookAgain)
+		}
+	}
+}
+
+// look decides on each waiting request in turn.
+func (fo *Forwarder) look(now time.Time) {
+	items := fo.queue.sorted(now)
+	if len(items) == 0 {
+		return
+	}
+	flights := fo.Tracker.Flights(now)
+	for _, it := range items {
+		listings := fo.Catalog.Usable(now, it.rq.Service)
+		ou, decided := fo.decide(now, it, listings, flights)
+		if !decided {
+			continue
+		}
+		fo.queue.remove(it)
+		it.result <- ou
+	}
+}
+
+// decide places one waiting request, refuses it, or leaves it waiting.
+func (fo *Forwarder) decide(now time.Time, it *item, listings []cataloger.Listing, flights map[ml.EndpointID][]ml.Flight) (outcome, bool) {
+	candidates := make([]placer.Candidate, 0, len(listings))
+	for _, li := range listings {
+		candidates = append(candidates, fo.candidate(now, it.rq, li, flights[li.ID]))
+	}
+	ch := placer.Choose(now, &it.ask, candidates)
+	switch {
+	case ch.Lost && ch.Seen == 0 && now.Sub(it.since) < it.rq.Route.Target/holdShare:
+		return outcome{}, false
+	case ch.Lost:
+		return outcome{err: &lostError{why: "no engine can answer in time", retry: ch.Retry}}, true
+	case ch.Wait:
+		return outcome{}, false
+	}
+	pl := &placement{
+		lead: candidates[ch.Lead].Endpoint, waited: now.Sub(it.since), predicted: ch.First.Sub(now),
+		loss: ch.Loss, worth: it.ask.Worth, seen: ch.Seen,
+	}
+	pl.share = ch.Share
+	for _, at := range ch.Helpers {
+		pl.helpers = append(pl.helpers, candidates[at].Endpoint)
+	}
+	fo.take(now, it, pl, flights)
+	return outcome{placement: pl}, true
+}
+
+// candidate tells what is known of an endpoint that may take a request.
+func (fo *Forwarder) candidate(now time.Time, rq *Request, li cataloger.Listing, flights []ml.Flight) placer.Candidate {
+	ca := placer.Candidate{
+		Endpoint: li.ListedEndpoint, Flights: flights,
+		Failing: fo.Detector.Failing(now, li.ID, li.Incarnation),
+	}
+	ca.Closed = fo.Detector.Closed(now, li.ID, li.Incarnation, len(flights)) || fo.full(now, rq, li) || slices.Contains(rq.seen, li.ID)
+	return ca
+}
+
+// full tells whether an endpoint that may be cold has had what it can carry.
+func (fo *Forwarder) full(now time.Time, rq *Request, li cataloger.Listing) bool {
+	return rq.Spec != nil && rq.Spec.ColdRate > 0 && float64(fo.Tracker.Recent(now, li.ID)) >= rq.Spec.ColdRate
+}
+
+// take records the flights of a placement.
+func (fo *Forwarder) take(now time.Time, it *item, pl *placement, flights map[ml.EndpointID][]ml.Flight) {
+	fi := it.ask.Figures
+	parts := 1 + len(pl.helpers)
+	base := ml.Flight{
+		Sent: now, Reading: forecaster.Reading(fi, it.ask.Prompt, parts), Writing: forecaster.Writing(fi, it.ask.Prompt, it.ask.Answer),
+		FirstBy: it.ask.FirstBy, Gap: it.ask.Gap, Worth: it.ask.Worth,
+	}
+	for i, ep := range append([]ml.ListedEndpoint{pl.lead}, pl.helpers...) {
+		fl := base
+		fl.ID, fl.Endpoint, fl.Helper = fo.flightID(), ep.ID, i > 0
+		fl.Memory = pl.share
+		if i == 0 {
+			fl.Memory = it.ask.Prompt + it.ask.Answer - pl.share*ml.Tokens(len(pl.helpers))
+		}
+		pl.flights = append(pl.flights, fl.ID)
+		flights[ep.ID] = append(flights[ep.ID], fl)
+		fo.Tracker.Add(now, fl)
+		fo.Detector.Tried(now, ep.ID, ep.Incarnation)
+	}
+}
+
+// placeService finds an endpoint of a plain service, at once or within a part
+// of the objective.
+func (fo *Forwarder) placeService(ctx context.Context, rq *Request) (*placement, error) {
+	began := time.Now()
+	for {
+		now := time.Now()
+		if pl := fo.chooseService(now, rq); pl != nil {
+			pl.waited = now.Sub(began)
+			return pl, nil
+		}
+		if now.Sub(began) >= rq.Route.Target/holdShare {
+			return nil, &lostError{why: "no endpoint of the service can be used", retry: defaultRetry}
+		}
+		select {
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		case <-time.After(lookAgain):
+		}
+	}
+}
+
+func (fo *Forwarder) chooseService(now time.Time, rq *Request) *placement {
+	flights := fo.Tracker.Flights(now)
+	candidates := []placer.ServiceCandidate{}
+	for _, li := range fo.Catalog.Usable(now, rq.Service) {
+		ca := fo.candidate(now, rq, li, flights[li.ID])
+		candidates = append(candidates, placer.ServiceCandidate{
+			Endpoint: ca.Endpoint, Running: len(ca.Flights), Failing: ca.Failing, Closed: ca.Closed,
+		})
+	}
+	at := placer.ChooseService(fo.Domain, candidates, rand.Float64())
+	if at < 0 {
+		return nil
+	}
+	ep := candidates[at].Endpoint
+	fl := ml.Flight{ID: fo.flightID(), Endpoint: ep.ID, Sent: now, FirstBy: rq.FirstBy}
+	fo.Tracker.Add(now, fl)
+	fo.Detector.Tried(now, ep.ID, ep.Incarnation)
+	return &placement{lead: ep, flights: []ml.FlightID{fl.ID}, seen: len(candidates)}
+}
--- /dev/null
+++ b/internal/duty/forwarder/stream.go
@@ -0,0 +1,134 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+)
+
+const (
+	// firstMargin and firstFactor tell how much later than predicted the first
+	// event may come before an engine counts as silent.
+	firstMargin = 900 * time.Millisecond
+	firstFactor = 2
+	// gapFactor and gapLeast tell after which pause an engine counts as
+	// silent.
+	gapFactor = 3
+	gapLeast  = time.Second
+)
+
+var (
+	// errSilent means that an engine gave no event in time.
+	errSilent = errors.New("the engine is silent")
+	// errCallerLeft means that the caller no longer reads.
+	errCallerLeft = errors.New("the caller has left")
+)
+
+// watchFirst ends an attempt whose first event is long overdue, where the
+// request may go on elsewhere.
+func (fo *Forwarder) watchFirst(rq *Request, pl *placement, cancel context.CancelCauseFunc) *time.Timer {
+	wait := time.Until(rq.Deadline)
+	if rq.movable() {
+		wait = min(wait, firstFactor*pl.predicted+firstMargin)
+	}
+	return time.AfterFunc(wait, func() { cancel(errSilent) })
+}
+
+// movable tells whether a stream may go on at another endpoint.
+func (rq *Request) movable() bool {
+	return rq.Route.Kind == ml.RouteStream && rq.Route.Resumable && rq.runs+1 < rq.Route.MaxAttempts
+}
+
+// stream passes the events of an answer on as they come.
+func (fo *Forwarder) stream(
+	ctx context.Context, rq *Request, rs ml.Responder, pl *placement, an *ml.Answer, watch *time.Timer, sent time.Time,
+) end {
+	if !an.Sealed {
+		return end{arrived: true, reason: "stream without receipt", err: errUnsealed}
+	}
+	in := bufio.NewReader(an.Body)
+	first := true
+	for {
+		ev, err := readEvent(in)
+		if errors.Is(err, io.EOF) {
+			return fo.streamEnded(rq, rs, an)
+		}
+		if err != nil {
+			return end{arrived: true, reason: "stream broke off: " + reasonOf(ctx, err), err: err}
+		}
+		now := time.Now()
+		if first {
+			fo.Metrics.First(rq, pl.predicted, now.Sub(sent))
+			fo.began(pl)
+			first = false
+		}
+		fo.Tracker.Event(now, pl.flights[0])
+		if rq.movable() {
+			watch.Reset(max(gapFactor*rq.Route.GapTarget, gapLeast))
+		}
+		if err := fo.passEvent(rq, rs, an, ev); err != nil {
+			if errors.Is(err, errCallerLeft) {
+				rs.Abort()
+				return end{done: true, arrived: true, reason: err.Error()}
+			}
+			return end{arrived: true, reason: "stream out of order", err: err}
+		}
+	}
+}
+
+// began notes that the prompt has been read: the engines that helped without
+// setting memory aside are done.
+func (fo *Forwarder) began(pl *placement) {
+	for _, id := range pl.flights[1:] {
+		fo.Tracker.End(id)
+	}
+}
+
+// passEvent checks that an event is the next one and passes it on.
+func (fo *Forwarder) passEvent(rq *Request, rs ml.Responder, an *ml.Answer, ev event) error {
+	if ev.hasID {
+		if rq.last > 0 && ev.id <= rq.last {
+			return nil // the caller has it already
+		}
+		if rq.last > 0 && ev.id != rq.last+1 {
+			return fmt.Errorf("event %d follows %d", ev.id, rq.last)
+		}
+	}
+	if err := fo.begin(rq, rs, an); err != nil {
+		return err
+	}
+	if err := rs.Write(ev.raw); err != nil {
+		return fmt.Errorf("%w: %w", errCallerLeft, err)
+	}
+	rq.events++
+	if ev.hasID {
+		rq.last = ev.id
+	}
+	return nil
+}
+
+// begin sends the head of the answer unless an earlier engine's has gone.
+func (fo *Forwarder) begin(rq *Request, rs ml.Responder, an *ml.Answer) error {
+	if rq.begun {
+		return nil
+	}
+	if err := rs.Begin(an.Status, an.Header, -1); err != nil {
+		return fmt.Errorf("%w: %w", errCallerLeft, err)
+	}
+	rq.begun = true
+	return nil
+}
+
+func (fo *Forwarder) streamEnded(rq *Request, rs ml.Responder, an *ml.Answer) end {
+	if err := fo.begin(rq, rs, an); err != nil {
+		rs.Abort()
+		return end{done: true, arrived: true, reason: err.Error()}
+	}
+	return end{done: true, arrived: true, reason: strconv.Itoa(an.Status)}
+}
--- /dev/null
+++ b/internal/duty/forwarder/ticket.go
@@ -0,0 +1,104 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+)
+
+const (
+	// ticketTerm is how long memory stays set aside without renewal.
+	ticketTerm = 3 * time.Second
+	// ticketRenew is the time between renewals.
+	ticketRenew = time.Second
+	// ticketCall bounds one order to an engine.
+	ticketCall = 800 * time.Millisecond
+)
+
+// ticket is memory set aside at a helper.
+type ticket struct {
+	at     ml.ListedEndpoint
+	id     ml.TicketID
+	memory ml.Tokens
+}
+
+// helperList returns the helpers as they are named to the engine that leads.
+func (pl *placement) helperList() []ml.Helper {
+	out := make([]ml.Helper, 0, len(pl.helpers))
+	for _, ep := range pl.helpers {
+		he := ml.Helper{Endpoint: ep.Endpoint}
+		for _, ti := range pl.tickets {
+			if ti.at.ID == ep.ID {
+				he.Ticket = ti.id
+			}
+		}
+		out = append(out, he)
+	}
+	return out
+}
+
+// setAside reserves memory at the helpers for what the leading engine does not
+// hold, all or none, and keeps it until giveBack.
+func (fo *Forwarder) setAside(ctx context.Context, rq *Request, pl *placement) error {
+	if pl.share == 0 {
+		return nil
+	}
+	for i, ep := range pl.helpers {
+		ti := ticket{at: ep, id: ml.TicketID(pl.flights[i+1]), memory: pl.share}
+		pl.tickets = append(pl.tickets, ti)
+		if err := fo.reserve(ctx, ti); err != nil {
+			fo.giveBack(pl)
+			return fmt.Errorf("set memory aside for %d tokens: %w", rq.Prompt, err)
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	pl.stopTickets = cancel
+	go fo.runTickets(ctx, pl.tickets)
+	return nil
+}
+
+func (fo *Forwarder) reserve(ctx context.Context, ti ticket) error {
+	ctx, cancel := context.WithTimeout(ctx, ticketCall)
+	defer cancel()
+	return fo.Exchanger.SetAside(ctx, ti.at, ti.id, ti.memory, ticketTerm)
+}
+
+// runTickets renews tickets until ctx ends.
+func (fo *Forwarder) runTickets(ctx context.Context, tickets []ticket) {
+	tick := time.NewTicker(ticketRenew)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for _, ti := range tickets {
+			if err := fo.reserve(ctx, ti); err != nil && ctx.Err() == nil {
+				fo.Log.Warn("ticket not renewed", "ticket", ti.id, "endpoint", ti.at.ID, "error", err)
+			}
+		}
+	}
+}
+
+// giveBack ends the tickets of a placement. It does not wait for the engines:
+// a ticket that is not given back ends by itself.
+func (fo *Forwarder) giveBack(pl *placement) {
+	if pl.stopTickets != nil {
+		pl.stopTickets()
+	}
+	for _, ti := range pl.tickets {
+		go fo.runGiveBack(ti)
+	}
+	pl.tickets = nil
+}
+
+func (fo *Forwarder) runGiveBack(ti ticket) {
+	ctx, cancel := context.WithTimeout(context.Background(), ticketCall)
+	defer cancel()
+	if err := fo.Exchanger.GiveBack(ctx, ti.at, ti.id); err != nil {
+		fo.Log.Warn("ticket not given back", "ticket", ti.id, "endpoint", ti.at.ID, "error", err)
+	}
+}
--- /dev/null
+++ b/internal/state/tracker/tracker.go
@@ -0,0 +1,248 @@
+// Package tracker knows what each endpoint has been given: by this entry VM,
+// and by the others as far as they have told.
+package tracker
+
+import (
+	"sync"
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+)
+
+const (
+	// silence is the time after which what a peer has told no longer counts.
+	silence = 3 * time.Second
+	// maxAge bounds how long any flight is believed.
+	maxAge = time.Minute
+	// recentSpan is the span over which sends to an endpoint are counted.
+	recentSpan = time.Second
+)
+
+// Tracker holds flights. The zero value is empty. It is safe for concurrent
+// use.
+type Tracker struct {
+	// Changed is called, without locks held, when an endpoint has been given
+	// something or has become freer; nil for nothing.
+	Changed func()
+
+	mu      sync.Mutex
+	own     map[ml.FlightID]*ml.Flight
+	changes ml.Shared // of own flights, not yet told
+	peers   map[ml.VMID]*peer
+	sends   map[ml.EndpointID][]time.Time
+}
+
+// peer is what one other entry VM has told.
+type peer struct {
+	heard   time.Time
+	leaving bool
+	flights map[ml.FlightID]*ml.Flight
+}
+
+// Add records a flight of this entry VM.
+func (tr *Tracker) Add(now time.Time, fl ml.Flight) {
+	tr.mu.Lock()
+	if tr.own == nil {
+		tr.own = make(map[ml.FlightID]*ml.Flight)
+	}
+	fl.Last = now
+	tr.own[fl.ID] = &fl
+	tr.sent(now, fl.Endpoint)
+	tr.changes.Flights = append(tr.changes.Flights, encode(now, &fl))
+	tr.mu.Unlock()
+	tr.changed()
+}
+
+// Event records that an event of a flight's answer has come.
+func (tr *Tracker) Event(now time.Time, id ml.FlightID) {
+	tr.mu.Lock()
+	fl := tr.own[id]
+	if fl == nil {
+		tr.mu.Unlock()
+		return
+	}
+	fl.Last = now
+	first := fl.Began.IsZero()
+	if first {
+		fl.Began = now
+		tr.changes.Began = append(tr.changes.Began, id)
+	}
+	tr.mu.Unlock()
+	if first {
+		tr.changed()
+	}
+}
+
+// End records that a flight is over.
+func (tr *Tracker) End(id ml.FlightID) {
+	tr.mu.Lock()
+	if _, found := tr.own[id]; !found {
+		tr.mu.Unlock()
+		return
+	}
+	delete(tr.own, id)
+	tr.changes.Ended = append(tr.changes.Ended, id)
+	tr.mu.Unlock()
+	tr.changed()
+}
+
+// Failed notes for the peers that an endpoint has failed a request.
+func (tr *Tracker) Failed(id ml.EndpointID) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.changes.Failed = append(tr.changes.Failed, id)
+}
+
+// Changes returns what the peers have not been told yet. The second result is
+// false when there is nothing.
+func (tr *Tracker) Changes() (ml.Shared, bool) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	sh := tr.changes
+	tr.changes = ml.Shared{}
+	return sh, len(sh.Flights)+len(sh.Began)+len(sh.Ended)+len(sh.Failed) > 0
+}
+
+// Whole returns all flights of this entry VM.
+func (tr *Tracker) Whole(now time.Time) ml.Shared {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	sh := ml.Shared{Whole: true}
+	for _, fl := range tr.own {
+		sh.Flights = append(sh.Flights, encode(now, fl))
+	}
+	return sh
+}
+
+// Learn takes in what a peer has told.
+func (tr *Tracker) Learn(now time.Time, sh ml.Shared) {
+	tr.mu.Lock()
+	if tr.peers == nil {
+		tr.peers = make(map[ml.VMID]*peer)
+	}
+	pe := tr.peers[sh.From]
+	if pe == nil {
+		pe = &peer{flights: make(map[ml.FlightID]*ml.Flight)}
+		tr.peers[sh.From] = pe
+	}
+	pe.heard, pe.leaving = now, sh.Leaving
+	if sh.Whole {
+		clear(pe.flights)
+	}
+	for _, sf := range sh.Flights {
+		fl := decode(now, sf)
+		if pe.flights[fl.ID] == nil && !sh.Whole {
+			tr.sent(now, fl.Endpoint)
+		}
+		pe.flights[fl.ID] = fl
+	}
+	for _, id := range sh.Began {
+		if fl := pe.flights[id]; fl != nil {
+			fl.Began = now
+		}
+	}
+	for _, id := range sh.Ended {
+		delete(pe.flights, id)
+	}
+	freer := len(sh.Began)+len(sh.Ended) > 0
+	tr.mu.Unlock()
+	if freer || sh.Whole {
+		tr.changed()
+	}
+}
+
+// Peers returns how many other entry VMs have been heard lately.
+func (tr *Tracker) Peers(now time.Time) int {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	n := 0
+	for _, pe := range tr.peers {
+		if now.Sub(pe.heard) < silence && !pe.leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// Flights returns the flights at all endpoints.
+func (tr *Tracker) Flights(now time.Time) map[ml.EndpointID][]ml.Flight {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	out := make(map[ml.EndpointID][]ml.Flight)
+	for _, fl := range tr.own {
+		out[fl.Endpoint] = append(out[fl.Endpoint], *fl)
+	}
+	for id, pe := range tr.peers {
+		if now.Sub(pe.heard) >= silence {
+			delete(tr.peers, id)
+			continue
+		}
+		for id, fl := range pe.flights {
+			if now.Sub(fl.Sent) >= maxAge {
+				delete(pe.flights, id)
+				continue
+			}
+			out[fl.Endpoint] = append(out[fl.Endpoint], *fl)
+		}
+	}
+	return out
+}
+
+// Recent returns how many requests have been sent to an endpoint within the
+// last second, as far as this entry VM knows.
+func (tr *Tracker) Recent(now time.Time, id ml.EndpointID) int {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return len(tr.recent(now, id))
+}
+
+func (tr *Tracker) sent(now time.Time, id ml.EndpointID) {
+	if tr.sends == nil {
+		tr.sends = make(map[ml.EndpointID][]time.Time)
+	}
+	tr.sends[id] = append(tr.recent(now, id), now)
+}
+
+func (tr *Tracker) recent(now time.Time, id ml.EndpointID) []time.Time {
+	all := tr.sends[id]
+	for len(all) > 0 && now.Sub(all[0]) >= recentSpan {
+		all = all[1:]
+	}
+	if len(all) == 0 {
+		delete(tr.sends, id)
+		return nil
+	}
+	tr.sends[id] = all
+	return all
+}
+
+func (tr *Tracker) changed() {
+	if tr.Changed != nil {
+		tr.Changed()
+	}
+}
+
+func encode(now time.Time, fl *ml.Flight) ml.SharedFlight {
+	sf := ml.SharedFlight{
+		ID: fl.ID, Endpoint: fl.Endpoint, SentMs: now.Sub(fl.Sent).Milliseconds(), ReadingUs: fl.Reading.Microseconds(),
+		WritingMs: fl.Writing.Milliseconds(), Memory: fl.Memory, FirstMs: fl.FirstBy.Sub(now).Milliseconds(),
+		GapMs: fl.Gap.Milliseconds(), Worth: fl.Worth, Helper: fl.Helper,
+	}
+	if !fl.Began.IsZero() {
+		sf.BeganMs = max(now.Sub(fl.Began).Milliseconds(), 1)
+	}
+	return sf
+}
+
+func decode(now time.Time, sf ml.SharedFlight) *ml.Flight {
+	fl := &ml.Flight{
+		ID: sf.ID, Endpoint: sf.Endpoint, Sent: now.Add(-time.Duration(sf.SentMs) * time.Millisecond),
+		Reading: time.Duration(sf.ReadingUs) * time.Microsecond, Writing: time.Duration(sf.WritingMs) * time.Millisecond,
+		Memory: sf.Memory, FirstBy: now.Add(time.Duration(sf.FirstMs) * time.Millisecond),
+		Gap: time.Duration(sf.GapMs) * time.Millisecond, Worth: sf.Worth, Helper: sf.Helper,
+	}
+	if sf.BeganMs > 0 {
+		fl.Began = now.Add(-time.Duration(sf.BeganMs) * time.Millisecond)
+	}
+	return fl
+}
