fix: a silent engine ends an attempt only where another is allowed

Now the budget is taken before the cancel. Ruled out: exits of the process (no 'stopped' line near the cuts), drain time. Parts read for others go before whole prompts in the forecast, take no place, and waiting costs by the share of the time left.

--- a/internal/decision/forecaster/forecaster.go
+++ b/internal/decision/forecaster/forecaster.go
@@ -71,18 +71,28 @@
 // Engine is the predicted state of an engine at one moment.
 type Engine struct {
 	Free    time.Time // when all prompts that it has are read
+	Parts   time.Time // when the parts of prompts that it reads for others are
 	Readers []Reader  // in the order in which they are read
 	Writers []ml.Flight
 	Memory  ml.Tokens
 	Context ml.Tokens // of the sequences that are being generated
 }
 
-// Running returns how many places of the engine are taken.
-func (en *Engine) Running() int { return len(en.Readers) + len(en.Writers) }
+// Running returns how many places of the engine are taken. Parts that it reads
+// for others take none.
+func (en *Engine) Running() int {
+	n := len(en.Writers)
+	for _, re := range en.Readers {
+		if !re.Flight.Helper {
+			n++
+		}
+	}
+	return n
+}
 
 // At returns the state of an engine at now, given its flights.
 func At(now time.Time, flights []ml.Flight) Engine {
-	en := Engine{Free: now}
+	en := Engine{Free: now, Parts: now}
 	began := time.Time{}
 	for _, fl := range flights {
 		en.Memory += fl.Memory
@@ -97,12 +107,20 @@
 		en.Context += fl.Memory
 	}
 	slices.SortFunc(en.Readers, func(a, b Reader) int {
-		return cmp.Or(a.Flight.Sent.Compare(b.Flight.Sent), cmp.Compare(a.Flight.ID, b.Flight.ID))
+		return cmp.Or(after(a.Flight.Helper)-after(b.Flight.Helper), a.Flight.Sent.Compare(b.Flight.Sent), cmp.Compare(a.Flight.ID, b.Flight.ID))
 	})
 	en.chain(now, began)
 	return en
 }
 
+// after orders parts that are read for others before whole prompts.
+func after(helper bool) int {
+	if helper {
+		return 0
+	}
+	return 1
+}
+
 // chain predicts when each prompt is read: one after the other.
 func (en *Engine) chain(now, began time.Time) {
 	end := time.Time{}
@@ -118,6 +136,9 @@
 			end = now.Add(min(left, overdueMax))
 		}
 		en.Readers[i].Done = end
+		if fl.Helper {
+			en.Parts = later(now, end)
+		}
 	}
 	en.Free = later(now, end)
 }
--- a/internal/decision/placer/group.go
+++ b/internal/decision/placer/group.go
@@ -38,18 +38,26 @@
 	})
 	if parts == 1 {
 		for _, op := range open {
-			ch.keep([]option{op}, part, op.st.engine.Free, best, func(op option) float64 { return op.cost })
+			ch.keep([]option{op}, part, ch.now, best, func(op option) float64 { return op.cost })
 		}
 		return
 	}
-	members := open[:parts]
-	start := ch.now
-	for _, op := range members {
-		if op.st.engine.Free.After(start) {
-			start = op.st.engine.Free
+	ch.keep(open[:parts], part, ch.now, best, func(op option) float64 { return op.cost })
+}
+
+// read returns when the last part of a group that begins at start is read. The
+// engine that leads reads its part after what it has already, the others
+// before.
+func read(members []option, lead int, start time.Time, part time.Duration) time.Time {
+	end := start
+	for i, op := range members {
+		free := op.st.engine.Parts
+		if i == lead {
+			free = op.st.engine.Free
 		}
+		end = later(end, later(start, free).Add(part))
 	}
-	ch.keep(members, part, start, best, func(op option) float64 { return op.cost })
+	return end
 }
 
 // tryLater weighs a group that begins as soon as its members are clear of what
@@ -72,9 +80,8 @@
 	if lead < 0 {
 		return
 	}
-	en := &members[lead].st.engine
-	first := start.Add(part + ch.firstPass(en))
-	loss := ch.selfLoss(first) + partCost*float64(len(members)-1)
+	first := read(members, lead, start, part).Add(ch.firstPass(&members[lead].st.engine))
+	loss := ch.selfLoss(first) + ch.waitLoss(start) + partCost*float64(len(members)-1)
 	for _, op := range members {
 		loss += cost(op)
 	}
@@ -99,7 +106,7 @@
 		if ch.room(op) < ch.memory {
 			continue
 		}
-		if lead < 0 || len(op.st.engine.Writers) < len(members[lead].st.engine.Writers) {
+		if lead < 0 || ch.leadsSooner(op, members[lead]) {
 			lead = i
 		}
 	}
@@ -109,6 +116,14 @@
 	return ch.sharedLead(members)
 }
 
+// leadsSooner tells whether a is the better engine to answer.
+func (ch *chooser) leadsSooner(a, b option) bool {
+	if a.st.engine.Free.Equal(b.st.engine.Free) {
+		return len(a.st.engine.Writers) < len(b.st.engine.Writers)
+	}
+	return a.st.engine.Free.Before(b.st.engine.Free)
+}
+
 // sharedLead returns the member with the most room, when all together have
 // room for the prompt in even parts.
 func (ch *chooser) sharedLead(members []option) (int, ml.Tokens) {
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -26,8 +26,9 @@
 	freshCost = 0.12
 	// partCost is the loss that stands for each further engine of a group.
 	partCost = 0.04
-	// waitCost is the share of its worth that waiting must save.
-	waitCost = 0.04
+	// waitCost is the share of its worth that waiting costs when it takes all
+	// of the time up to the objective, and waitLeast what it must save.
+	waitCost, waitLeast = 0.4, 0.02
 	// farCost stands for the bytes to another failure domain.
 	farCost = 0.002
 	// lostShare is the share of its worth from which a prompt counts as lost.
@@ -141,7 +142,7 @@
 // decide compares the best placement now with the best one later.
 func (ch *chooser) decide(best, later Choice) Choice {
 	worth := ch.rq.Worth
-	if later.Lead >= 0 && later.Loss+waitCost*worth < best.Loss {
+	if later.Lead >= 0 && later.Loss+waitLeast*worth < best.Loss {
 		later.Wait = true
 		best = later
 	}
@@ -160,6 +161,16 @@
 	return ch.rq.Worth * (lateLoss*late + (1-lateLoss)*lost)
 }
 
+// waitLoss returns the risk of waiting until start: less is left for what can't
+// be predicted.
+func (ch *chooser) waitLoss(start time.Time) float64 {
+	left := ch.rq.FirstBy.Sub(ch.now)
+	if left <= 0 {
+		return 0
+	}
+	return waitCost * ch.rq.Worth * min(float64(start.Sub(ch.now))/float64(left), 1)
+}
+
 // ramp rises from 0 at low to 1 at high.
 func ramp(x, low, high float64) float64 {
 	return min(max((x-low)/(high-low), 0), 1)
--- a/internal/duty/forwarder/attempt.go
+++ b/internal/duty/forwarder/attempt.go
@@ -31,8 +31,8 @@
 		return end{notRun: true, reason: "no memory for the prompt", err: err}
 	}
 	defer fo.giveBack(pl)
-	watch := fo.watchFirst(rq, pl, cancel)
-	defer watch.Stop()
+	wa := fo.watch(rq, pl, cancel)
+	defer wa.Stop()
 	out := rq.outgoing(pl)
 	sent := time.Now()
 	an, err := fo.Exchanger.Exchange(ctx, pl.lead, out)
@@ -48,7 +48,7 @@
 	case an.NotRun:
 		return end{notRun: true, arrived: true, reason: "the endpoint did not run it, status " + strconv.Itoa(an.Status)}
 	case an.Status/100 == 2 && rq.Route.Kind == ml.RouteStream:
-		return fo.stream(ctx, rq, rs, pl, an, watch, sent)
+		return fo.stream(ctx, rq, rs, pl, an, wa, sent)
 	}
 	return fo.whole(rq, rs, an)
 }
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -46,6 +46,10 @@
 	begun  bool // the head of an answer has gone to the caller
 	last   ml.EventID
 	events int
+	first  time.Time       // when the first event was passed on
+	latest time.Time       // when the latest one was
+	pause  time.Duration   // the longest between two events
+	paid   atomic.Bool     // the budget for the next attempt has been taken
 	seen   []ml.EndpointID // endpoints that have had it
 }
 
@@ -119,7 +123,9 @@
 	took := time.Since(rq.Arrived)
 	fo.Metrics.Finished(rq, outcome, took)
 	fo.Log.Info("ended", "request", rq.Out.Attempt, "team", rq.Out.Team, "route", rq.Route.Name, "outcome", outcome,
-		"ms", took.Milliseconds(), "prompt", rq.Prompt, "sends", rq.sends, "events", rq.events, "targetMs", rq.Route.Target.Milliseconds())
+		"ms", took.Milliseconds(), "prompt", rq.Prompt, "sends", rq.sends, "events", rq.events,
+		"firstMs", max(rq.first.Sub(rq.Arrived).Milliseconds(), 0), "pauseMs", rq.pause.Milliseconds(), "targetMs", rq.Route.Target.Milliseconds(),
+		"pauseTargetMs", rq.Route.GapTarget.Milliseconds())
 }
 
 // once makes one attempt: place, send, pass the answer on.
@@ -132,7 +138,7 @@
 	if !fo.Catalog.Serves(time.Now(), pl.lead.ID, pl.lead.Incarnation) {
 		return end{notRun: true, reason: "left before the send"}
 	}
-	fo.Log.Info("placed", "request", rq.Out.Attempt, "endpoint", pl.lead.ID, "helpers", len(pl.helpers), "waitedMs", pl.waited.Milliseconds(),
+	fo.Log.Info("placed", "request", rq.Out.Attempt, "endpoint", pl.lead.ID, "helpers", pl.helperIDs(), "waitedMs", pl.waited.Milliseconds(),
 		"firstMs", pl.predicted.Milliseconds(), "loss", pl.loss, "worth", pl.worth, "seen", pl.seen, "prompt", rq.Prompt)
 	en := fo.attempt(ctx, rq, rs, pl)
 	if en.arrived {
@@ -183,7 +189,7 @@
 	if rq.begun && !rq.Route.Resumable {
 		return false
 	}
-	return !en.arrived || bu.Retry()
+	return !en.arrived || rq.paid.Swap(false) || bu.Retry()
 }
 
 // finish gives the caller the final answer after the last attempt.
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -30,14 +30,34 @@
 	errCallerLeft = errors.New("the caller has left")
 )
 
-// watchFirst ends an attempt whose first event is long overdue, where the
-// request may go on elsewhere.
-func (fo *Forwarder) watchFirst(rq *Request, pl *placement, cancel context.CancelCauseFunc) *time.Timer {
-	wait := time.Until(rq.Deadline)
-	if rq.movable() {
-		wait = min(wait, firstFactor*pl.predicted+firstMargin)
+// watcher ends an attempt whose next event is long overdue, where the request
+// may go on elsewhere. An engine that is only slow is left to finish when
+// nothing allows another attempt.
+type watcher struct {
+	*time.Timer
+	gap time.Duration // between events
+}
+
+// watch starts the watcher of an attempt.
+func (fo *Forwarder) watch(rq *Request, pl *placement, cancel context.CancelCauseFunc) *watcher {
+	wa := &watcher{gap: max(gapFactor*rq.Route.GapTarget, gapLeast)}
+	wait := firstFactor*pl.predicted + firstMargin
+	wa.Timer = time.AfterFunc(wait, func() {
+		if rq.movable() && fo.prepay(rq) {
+			cancel(errSilent)
+			return
+		}
+		wa.Reset(wa.gap)
+	})
+	return wa
+}
+
+// prepay takes the budget for one more attempt.
+func (fo *Forwarder) prepay(rq *Request) bool {
+	if !rq.paid.Load() && fo.budget(rq.Service).Retry() {
+		rq.paid.Store(true)
 	}
-	return time.AfterFunc(wait, func() { cancel(errSilent) })
+	return rq.paid.Load()
 }
 
 // movable tells whether a stream may go on at another endpoint.
@@ -47,7 +67,7 @@
 
 // stream passes the events of an answer on as they come.
 func (fo *Forwarder) stream(
-	ctx context.Context, rq *Request, rs ml.Responder, pl *placement, an *ml.Answer, watch *time.Timer, sent time.Time,
+	ctx context.Context, rq *Request, rs ml.Responder, pl *placement, an *ml.Answer, wa *watcher, sent time.Time,
 ) end {
 	if !an.Sealed {
 		return end{arrived: true, reason: "stream without receipt", err: errUnsealed}
@@ -64,14 +84,11 @@
 		}
 		now := time.Now()
 		if first {
-			fo.Metrics.First(rq, pl.predicted, now.Sub(sent))
-			fo.began(pl)
+			fo.first(rq, pl, now.Sub(sent))
 			first = false
 		}
 		fo.Tracker.Event(now, pl.flights[0])
-		if rq.movable() {
-			watch.Reset(max(gapFactor*rq.Route.GapTarget, gapLeast))
-		}
+		wa.Reset(wa.gap)
 		if err := fo.passEvent(rq, rs, an, ev); err != nil {
 			if errors.Is(err, errCallerLeft) {
 				rs.Abort()
@@ -82,10 +99,22 @@
 	}
 }
 
+// first notes when the first event came, against what was predicted.
+func (fo *Forwarder) first(rq *Request, pl *placement, took time.Duration) {
+	fo.Metrics.First(rq, pl.predicted, took)
+	fo.began(pl)
+	fo.Log.Info("first event", "request", rq.Out.Attempt, "endpoint", pl.lead.ID, "ms", took.Milliseconds(),
+		"predictedMs", pl.predicted.Milliseconds(), "prompt", rq.Prompt, "helpers", len(pl.helpers))
+}
+
 // began notes that the prompt has been read: the engines that helped without
 // setting memory aside are done.
 func (fo *Forwarder) began(pl *placement) {
 	for _, id := range pl.flights[1:] {
+		if pl.share > 0 {
+			fo.Tracker.Event(time.Now(), id)
+			continue
+		}
 		fo.Tracker.End(id)
 	}
 }
@@ -106,13 +135,24 @@
 	if err := rs.Write(ev.raw); err != nil {
 		return fmt.Errorf("%w: %w", errCallerLeft, err)
 	}
-	rq.events++
+	rq.passed(time.Now())
 	if ev.hasID {
 		rq.last = ev.id
 	}
 	return nil
 }
 
+// passed notes that an event was passed on at now.
+func (rq *Request) passed(now time.Time) {
+	if rq.events == 0 {
+		rq.first = now
+	} else {
+		rq.pause = max(rq.pause, now.Sub(rq.latest))
+	}
+	rq.latest = now
+	rq.events++
+}
+
 // begin sends the head of the answer unless an earlier engine's has gone.
 func (fo *Forwarder) begin(rq *Request, rs ml.Responder, an *ml.Answer) error {
 	if rq.begun {
--- a/internal/duty/forwarder/ticket.go
+++ b/internal/duty/forwarder/ticket.go
@@ -39,6 +39,15 @@
 	return out
 }
 
+// helperIDs returns the helpers for logs.
+func (pl *placement) helperIDs() []ml.EndpointID {
+	out := make([]ml.EndpointID, len(pl.helpers))
+	for i, ep := range pl.helpers {
+		out[i] = ep.ID
+	}
+	return out
+}
+
 // setAside reserves memory at the helpers for what the leading engine does not
 // hold, all or none, and keeps it until giveBack.
 func (fo *Forwarder) setAside(ctx context.Context, rq *Request, pl *placement) error {
