--- a/internal/decision/detector/detector.go
+++ b/internal/decision/detector/detector.go
@@ -109,6 +109,9 @@
 		de.ends = make(map[ml.EndpointID]*history)
 	}
 	hi := de.ends[id]
+	if hi != nil && hi.incarnation == "" {
+		hi.incarnation = in // so far only peers have told of it
+	}
 	if hi == nil || hi.incarnation != in && in != "" {
 		hi = &history{incarnation: in, at: now}
 		de.ends[id] = hi
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -148,11 +148,26 @@
 	}
 	if best.Lead < 0 || ch.selfLoss(best.First) >= lostShare*worth {
 		best.Lost = true
-		best.Retry = min(max(best.First.Sub(ch.rq.GiveUp), retryLeast), retryMost)
+		best.Retry = min(max(ch.soonest(best).Sub(ch.rq.GiveUp), retryLeast), retryMost)
 	}
 	return best
 }
 
+// soonest returns when a prompt that is lost now could have its first event: as
+// predicted, or when the first engine is free of what it reads.
+func (ch *chooser) soonest(best Choice) time.Time {
+	if best.Lead >= 0 {
+		return best.First
+	}
+	free := ch.rq.GiveUp.Add(retryLeast)
+	for i := range ch.states {
+		if at := ch.states[i].engine.Free; i == 0 || at.Before(free) {
+			free = at
+		}
+	}
+	return free
+}
+
 // selfLoss returns what the caller loses when its first event comes at first.
 func (ch *chooser) selfLoss(first time.Time) float64 {
 	off := max(time.Duration(slackShare*float64(first.Sub(ch.now))), slackLeast)
--- /dev/null
+++ b/internal/decision/placer/placer_test.go
@@ -0,0 +1,174 @@
+package placer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/forecaster"
+	"github.com/mulberrylever/mulberrylever/internal/decision/placer"
+)
+
+var start = time.Unix(1000, 0)
+
+// figures are those of an engine that reads 177 tokens in a millisecond.
+func figures() *ml.EngineFigures {
+	return &ml.EngineFigures{
+		Slots: 16, Memory: 315_000, Stride: 51, Chunk: 2048, Step: 850 * time.Microsecond, StepSequence: 4 * time.Microsecond,
+		StepContext: 3 * time.Microsecond, ReadRate: 177_000, ReadPairs: 184 * time.Microsecond, UsualAnswer: 1600,
+	}
+}
+
+// script holds the engines of one file.
+type script struct {
+	now        time.Time
+	candidates []placer.Candidate
+	flights    int
+}
+
+// TestScripts runs the scripts below testdata.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		sc := &script{now: start}
+		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string { return sc.run(t, td) })
+	})
+}
+
+func (sc *script) run(t *testing.T, td *datadriven.TestData) string {
+	switch td.Cmd {
+	case "engines":
+		sc.candidates = nil
+		for i := range number(t, td, "n", 1) {
+			ep := ml.ListedEndpoint{Endpoint: ml.Endpoint{ID: ml.EndpointID(fmt.Sprintf("e%d", i)), Domain: "d", MaxRequests: 16}}
+			sc.candidates = append(sc.candidates, placer.Candidate{Endpoint: ep})
+		}
+	case "flight":
+		sc.flight(t, td)
+	case "set":
+		ca := &sc.candidates[number(t, td, "e", 0)]
+		ca.Closed = td.HasArg("closed")
+		ca.Failing = float64(number(t, td, "failing", 0)) / 100
+	case "choose":
+		return sc.choose(t, td)
+	default:
+		t.Fatalf("%s: unknown command %q", td.Pos, td.Cmd)
+	}
+	return ""
+}
+
+// flight gives an engine a prompt that is being read, or an answer that is
+// being generated.
+func (sc *script) flight(t *testing.T, td *datadriven.TestData) {
+	prompt := ml.Tokens(number(t, td, "prompt", 5000))
+	for range number(t, td, "n", 1) {
+		sc.flights++
+		fl := ml.Flight{
+			ID: ml.FlightID(fmt.Sprintf("f%d", sc.flights)), Sent: sc.now, Reading: forecaster.Reading(figures(), prompt, 1),
+			Writing: time.Duration(number(t, td, "writing", 1600)) * time.Millisecond, Memory: prompt, Worth: placer.Worth(prompt),
+			FirstBy: sc.now.Add(300 * time.Millisecond), Gap: time.Duration(number(t, td, "gap", 250)) * time.Millisecond,
+		}
+		if td.HasArg("writes") {
+			fl.Began = sc.now
+		}
+		ca := &sc.candidates[number(t, td, "e", 0)]
+		ca.Flights = append(ca.Flights, fl)
+	}
+}
+
+func (sc *script) choose(t *testing.T, td *datadriven.TestData) string {
+	prompt := ml.Tokens(number(t, td, "prompt", 5000))
+	target := time.Duration(number(t, td, "target", 300)) * time.Millisecond
+	rq := &placer.Request{
+		Figures: figures(), Prompt: prompt, Answer: 1600, FirstBy: sc.now.Add(target), GiveUp: sc.now.Add(max(4*target, 2*time.Second)),
+		Gap: time.Duration(number(t, td, "gap", 250)) * time.Millisecond, Worth: placer.Worth(prompt), Domain: "d",
+	}
+	ch := placer.Choose(sc.now, rq, sc.candidates)
+	switch {
+	case ch.Lost:
+		return fmt.Sprintf("refused, again after %s", ch.Retry.Round(time.Millisecond))
+	case ch.Wait:
+		return "wait"
+	}
+	out := fmt.Sprintf("e%d", ch.Lead)
+	for _, at := range ch.Helpers {
+		out += fmt.Sprintf(" +e%d", at)
+	}
+	if ch.Share > 0 {
+		out += fmt.Sprintf(" share %d", ch.Share)
+	}
+	return out
+}
+
+func number(t *testing.T, td *datadriven.TestData, key string, usual int) int {
+	if td.HasArg(key) {
+		td.ScanArgs(t, key, &usual)
+	}
+	return usual
+}
+
+// TestAnyLoad checks, for any load of the engines, that a choice names engines
+// that may take the prompt, each once, and that a prompt is never refused while
+// an idle engine can read it in time.
+func TestAnyLoad(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		sc := &script{now: start}
+		idle := false
+		for i := range rapid.IntRange(1, 8).Draw(rt, "engines") {
+			ca := placer.Candidate{
+				Endpoint: ml.ListedEndpoint{Endpoint: ml.Endpoint{ID: ml.EndpointID(fmt.Sprint(i))}},
+				Closed:   rapid.Bool().Draw(rt, "closed"),
+			}
+			for j := range rapid.IntRange(0, 18).Draw(rt, "flights") {
+				prompt := ml.Tokens(rapid.IntRange(0, 300_000).Draw(rt, "prompt"))
+				fl := ml.Flight{
+					ID: ml.FlightID(fmt.Sprintf("%d-%d", i, j)), Sent: start.Add(-time.Duration(rapid.IntRange(0, 5000).Draw(rt, "age")) * time.Millisecond),
+					Reading: forecaster.Reading(figures(), prompt, 1), Writing: time.Second, Memory: prompt, Worth: placer.Worth(prompt), Gap: time.Second,
+				}
+				if rapid.Bool().Draw(rt, "writes") {
+					fl.Began = fl.Sent
+				}
+				ca.Flights = append(ca.Flights, fl)
+			}
+			idle = idle || !ca.Closed && len(ca.Flights) == 0
+			sc.candidates = append(sc.candidates, ca)
+		}
+		prompt := ml.Tokens(rapid.IntRange(1, 700_000).Draw(rt, "new"))
+		target := 3 * time.Second
+		rq := &placer.Request{
+			Figures: figures(), Prompt: prompt, Answer: 100, FirstBy: start.Add(target), GiveUp: start.Add(4 * target),
+			Gap: time.Second, Worth: placer.Worth(prompt),
+		}
+		ch := placer.Choose(start, rq, sc.candidates)
+		if idle && prompt < 200_000 && ch.Lost {
+			rt.Fatalf("refused a prompt of %d beside an idle engine", prompt)
+		}
+		if ch.Lost || ch.Wait {
+			return
+		}
+		used := map[int]bool{}
+		for _, at := range append([]int{ch.Lead}, ch.Helpers...) {
+			if used[at] || sc.candidates[at].Closed {
+				rt.Fatalf("engine %d is used twice or closed: %+v", at, ch)
+			}
+			used[at] = true
+		}
+	})
+}
+
+// TestChooseService checks that failing, full and closed endpoints are left.
+func TestChooseService(t *testing.T) {
+	g := gomega.NewWithT(t)
+	all := []placer.ServiceCandidate{{Running: 6}, {Running: 1, Failing: 0.6}, {Running: 2, Failing: 0.1}, {Closed: true}}
+	for i := range all {
+		all[i].Endpoint.MaxRequests = 6
+	}
+	for _, roll := range []float64{0, 0.3, 0.6, 0.99} {
+		g.Expect(placer.ChooseService("", all, roll)).To(gomega.Equal(2))
+	}
+	g.Expect(placer.ChooseService("", all[3:], 0)).To(gomega.Equal(-1))
+}
