--- a/internal/adapter/exchanger/conn.go
+++ b/internal/adapter/exchanger/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -70,7 +71,7 @@
 	err = raw.Read(func(fd uintptr) bool {
 		var one [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		silent = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		silent = errors.Is(err, syscall.EAGAIN)
 		return true
 	})
 	return err == nil && silent
@@ -104,7 +105,7 @@
 		if foreign++; foreign > maxForeign || rs.Close {
 			return nil, fmt.Errorf("answer %d belongs to another request", rs.StatusCode)
 		}
-		if _, err := io.CopyN(io.Discard, rs.Body, maxForeignBody); err != io.EOF {
+		if _, err := io.CopyN(io.Discard, rs.Body, maxForeignBody); !errors.Is(err, io.EOF) {
 			return nil, fmt.Errorf("skip an answer to another request: %w", err)
 		}
 	}
--- a/internal/adapter/exchanger/exchanger.go
+++ b/internal/adapter/exchanger/exchanger.go
@@ -72,7 +72,7 @@
 	stop := co.cutOn(ctx)
 	wrote := make(chan error, 1)
 	go co.runWrite(hr, wrote)
-	rs, err := co.readAnswer(hr, rq.Match)
+	rs, err := co.readAnswer(hr, rq.Match) //nolint:bodyclose // ends with the connection or the answer's Close
 	if err != nil {
 		stop()
 		ex.drop(ta, co)
--- a/internal/adapter/messenger/messenger.go
+++ b/internal/adapter/messenger/messenger.go
@@ -8,7 +8,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,6 +40,7 @@
 	// Fickle gives up a connection on which a call was not answered in time,
 	// since it may have gone silent.
 	Fickle bool
+	Log    *slog.Logger // of connections that break; nil for nothing
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -139,7 +142,7 @@
 		return nil, err
 	}
 	// The connection outlives the call that opened it.
-	pe.conn = jsonrpc2.NewConn(context.Background(), stream(nc), ignore{})
+	pe.conn = jsonrpc2.NewConn(context.Background(), stream(nc), ignore{}, jsonrpc2.SetLogger(lineLog{me.Log}))
 	return pe.conn, nil
 }
 
@@ -177,6 +180,16 @@
 	return pe
 }
 
+// lineLog passes what the library says of a connection on to our own log.
+type lineLog struct{ log *slog.Logger }
+
+// Printf implements jsonrpc2.Logger.
+func (ll lineLog) Printf(format string, args ...any) {
+	if ll.log != nil {
+		ll.log.Info("peer connection", "said", strings.TrimSpace(fmt.Sprintf(format, args...)))
+	}
+}
+
 // ignore answers nothing: peers call over their own connections.
 type ignore struct{}
 
@@ -195,6 +208,7 @@
 type Server struct {
 	Handler ml.PeerHandler  // nil where entry VMs only share
 	Sharing ml.ShareHandler // nil where they don't
+	Log     *slog.Logger    // of connections that break; nil for nothing
 }
 
 // Serve accepts connections until the listener is closed.
@@ -204,7 +218,7 @@
 		if err != nil {
 			return fmt.Errorf("accept peers: %w", err)
 		}
-		jsonrpc2.NewConn(context.Background(), stream(nc), &session{handler: se.Handler, sharing: se.Sharing})
+		jsonrpc2.NewConn(context.Background(), stream(nc), &session{handler: se.Handler, sharing: se.Sharing}, jsonrpc2.SetLogger(lineLog{se.Log}))
 	}
 }
 
