feat: waiting requests are shared, and engine time has a price when it is scarce

Change: each entry VM knows what waits at the others and gives it its turn, in one order; a place is kept free at each engine; a prompt that would be late anyway pays for engine time by how many engines are busy, and one whose answer can't end before the deadline is refused. Ruled out: messages too late (a change is told within 4 ms).

--- a/exchange.go
+++ b/exchange.go
@@ -84,8 +84,9 @@
 	Address string               `json:"address"` // of the sender, for other entry VMs
 	Whole   bool                 `json:"whole,omitempty"`
 	Flights []SharedFlight       `json:"flights,omitempty"`
+	Waiting []SharedWaiting      `json:"waiting,omitempty"`
 	Began   []FlightID           `json:"began,omitempty"`
-	Ended   []FlightID           `json:"ended,omitempty"`
+	Ended   []FlightID           `json:"ended,omitempty"`  // flights, and requests that no longer wait
 	Failed  []EndpointID         `json:"failed,omitempty"` // an endpoint failed a request
 	Known   []string             `json:"known,omitempty"`  // addresses of entry VMs that the sender hears
 	Heads   map[TopicName]Offset `json:"heads,omitempty"`  // how far the sender has read
@@ -108,6 +109,19 @@
 	Helper    bool       `json:"h,omitempty"`
 }
 
+// SharedWaiting is a waiting request as told to other entry VMs. Times are
+// milliseconds after the message was made.
+type SharedWaiting struct {
+	ID       FlightID    `json:"i"`
+	Service  ServiceName `json:"s"`
+	Prompt   Tokens      `json:"p"`
+	Answer   Tokens      `json:"a"`
+	FirstMs  int64       `json:"f"`
+	GiveUpMs int64       `json:"u"`
+	GapMs    int64       `json:"g"`
+	Worth    float64     `json:"v"`
+}
+
 // SharePeers reaches other entry VMs for what they share.
 type SharePeers interface {
 	// Share tells a peer. The peer answers with how far it has read.
--- a/internal/decision/placer/group.go
+++ b/internal/decision/placer/group.go
@@ -81,7 +81,7 @@
 		return
 	}
 	first := read(members, lead, start, part).Add(ch.firstPass(&members[lead].st.engine))
-	loss := ch.selfLoss(first) + ch.waitLoss(start) + partCost*float64(len(members)-1)
+	loss := ch.selfLoss(first) + ch.waitLoss(start) + partCost*float64(len(members)-1) + ch.price*part.Seconds()*float64(len(members))
 	for _, op := range members {
 		loss += cost(op)
 	}
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -31,6 +31,13 @@
 	waitCost, waitLeast = 0.4, 0.02
 	// farCost stands for the bytes to another failure domain.
 	farCost = 0.002
+	// busyCost is the loss that an engine-second stands for when all engines
+	// are busy. It keeps prompts that would be late anyway from taking the
+	// engines from those that would not.
+	busyCost = 2.0
+	// sparePlaces is the number of places kept free at an engine, since another
+	// entry VM may be taking one at the same moment.
+	sparePlaces = 1
 	// lostShare is the share of its worth from which a prompt counts as lost.
 	lostShare = 0.97
 	// certain and likely bound the ratio of a pause to its objective between
@@ -111,14 +118,29 @@
 	rq     *Request
 	memory ml.Tokens
 	states []state
+	price  float64 // of an engine-second now
 }
 
 func (ch *chooser) look(candidates []Candidate) {
 	for i, ca := range candidates {
 		st := state{Candidate: ca, index: i, engine: forecaster.At(ch.now, ca.Flights)}
-		st.fits = !ca.Closed && st.engine.Running() < ch.rq.Figures.Slots
+		st.fits = !ca.Closed && st.engine.Running() < max(ch.rq.Figures.Slots-sparePlaces, 1)
 		ch.states = append(ch.states, st)
 	}
+	ch.price = busyCost * ch.busy() * ch.busy()
+}
+
+// busy returns the share of engines that read, or whose places are mostly
+// taken.
+func (ch *chooser) busy() float64 {
+	n := 0
+	for i := range ch.states {
+		en := &ch.states[i].engine
+		if en.Free.After(ch.now) || 2*en.Running() > ch.rq.Figures.Slots {
+			n++
+		}
+	}
+	return float64(n) / float64(max(len(ch.states), 1))
 }
 
 func (ch *chooser) open() int {
@@ -146,7 +168,7 @@
 		later.Wait = true
 		best = later
 	}
-	if best.Lead < 0 || ch.selfLoss(best.First) >= lostShare*worth {
+	if best.Lead < 0 || best.Loss >= lostShare*worth {
 		best.Lost = true
 		best.Retry = min(max(ch.soonest(best).Sub(ch.rq.GiveUp), retryLeast), retryMost)
 	}
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -63,6 +63,7 @@
 	Detector  *detector.Detector
 	Log       *slog.Logger
 	Metrics   Meter
+	Told      func() // there is something to tell the other entry VMs
 
 	// RetryPerCent and RetryBurst bound the repeats of this entry VM, as a
 	// part of the requests and beyond it.
--- a/internal/duty/forwarder/queue.go
+++ b/internal/duty/forwarder/queue.go
@@ -19,6 +19,9 @@
 	maxQueue = 512
 	// lookAgain is the longest time between two looks at waiting requests.
 	lookAgain = 20 * time.Millisecond
+	// writeMargin is how much longer than predicted an answer may take before
+	// its deadline.
+	writeMargin = 1.5
 	// holdShare is the part of its objective for which a request waits while
 	// no endpoint is known at all.
 	holdShare = 8
@@ -49,12 +52,15 @@
 	stopTickets context.CancelFunc
 }
 
-// item is a request that waits for a place.
+// item is a request that waits for a place, here or at another entry VM.
 type item struct {
-	rq      *Request
+	id      ml.FlightID
+	rq      *Request // nil for a request of another entry VM
+	service ml.ServiceName
 	ask     placer.Request
 	since   time.Time
 	urgency time.Time // latest moment at which one engine could begin
+	told    bool      // the other entry VMs know that it waits
 	result  chan<- outcome
 }
 
@@ -105,16 +111,19 @@
 	}
 }
 
-// sorted returns the waiting requests, the most urgent first; those that are
-// late already come after those that are not.
-func (qu *queue) sorted(now time.Time) []*item {
+// all returns the waiting requests.
+func (qu *queue) all() []*item {
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
-	out := slices.Clone(qu.items)
-	slices.SortStableFunc(out, func(a, b *item) int {
-		return cmp.Or(lateness(a, now)-lateness(b, now), a.urgency.Compare(b.urgency))
+	return slices.Clone(qu.items)
+}
+
+// sortItems orders waiting requests, the most urgent first; those that are late
+// already come after those that are not. All entry VMs order alike.
+func sortItems(items []*item, now time.Time) {
+	slices.SortStableFunc(items, func(a, b *item) int {
+		return cmp.Or(lateness(a, now)-lateness(b, now), a.urgency.Compare(b.urgency), cmp.Compare(a.id, b.id))
 	})
-	return out
 }
 
 func lateness(it *item, now time.Time) int {
@@ -145,7 +154,14 @@
 	if rq.begun {
 		ask.FirstBy, ask.GiveUp = now.Add(rq.Route.GapTarget), rq.Deadline
 	}
-	it := &item{rq: rq, ask: ask, since: now, result: result, urgency: ask.FirstBy.Add(-forecaster.Reading(ask.Figures, ask.Prompt, 1))}
+	writing := time.Duration(writeMargin * float64(forecaster.Writing(ask.Figures, ask.Prompt, ask.Answer)))
+	if last := rq.Deadline.Add(-writing); last.Before(ask.GiveUp) {
+		ask.GiveUp = last
+	}
+	it := &item{
+		id: fo.flightID(), rq: rq, service: rq.Service, ask: ask, since: now, result: result,
+		urgency: ask.FirstBy.Add(-forecaster.Reading(ask.Figures, ask.Prompt, 1)),
+	}
 	if !fo.queue.add(it) {
 		return nil, &lostError{why: "too many requests wait", retry: defaultRetry}
 	}
@@ -155,6 +171,7 @@
 		return ou.placement, ou.err
 	case <-ctx.Done():
 		fo.queue.remove(it)
+		fo.Tracker.Placed(it.id)
 		select {
 		case ou := <-result: // placed at the same moment
 			if ou.placement != nil {
@@ -193,21 +210,57 @@
 	}
 }
 
-// look decides on each waiting request in turn.
+// look decides on each waiting request in turn. The requests that wait at other
+// entry VMs have their turn too, so that when a place becomes free not all
+// entry VMs take it: theirs are placed in thought only.
 func (fo *Forwarder) look(now time.Time) {
-	items := fo.queue.sorted(now)
+	items := fo.queue.all()
 	if len(items) == 0 {
 		return
 	}
+	items = append(items, fo.peersItems(now, items[0].rq)...)
+	sortItems(items, now)
 	flights := fo.Tracker.Flights(now)
 	for _, it := range items {
-		listings := fo.Catalog.Usable(now, it.rq.Service)
+		listings := fo.Catalog.Usable(now, it.service)
 		ou, decided := fo.decide(now, it, listings, flights)
-		if !decided {
+		switch {
+		case it.rq == nil:
+		case decided:
+			fo.queue.remove(it)
+			fo.Tracker.Placed(it.id)
+			it.result <- ou
+		case !it.told:
+			it.told = true
+			fo.Tracker.Wait(now, it.waiting())
+			fo.Told()
+		}
+	}
+}
+
+// peersItems returns the requests that wait at other entry VMs for the service
+// of a request of our own.
+func (fo *Forwarder) peersItems(now time.Time, rq *Request) []*item {
+	out := []*item{}
+	for _, wa := range fo.Tracker.PeersWaiting(now) {
+		if wa.Service != rq.Service {
 			continue
 		}
-		fo.queue.remove(it)
-		it.result <- ou
+		ask := placer.Request{
+			Figures: rq.Spec.Engine, Prompt: wa.Prompt, Answer: wa.Answer, FirstBy: wa.FirstBy, GiveUp: wa.GiveUp, Gap: wa.Gap, Worth: wa.Worth,
+		}
+		out = append(out, &item{
+			id: wa.ID, service: wa.Service, ask: ask, since: now, urgency: wa.FirstBy.Add(-forecaster.Reading(ask.Figures, ask.Prompt, 1)),
+		})
+	}
+	return out
+}
+
+// waiting returns the item as it is told to other entry VMs.
+func (it *item) waiting() ml.Waiting {
+	return ml.Waiting{
+		ID: it.id, Service: it.service, Prompt: it.ask.Prompt, Answer: it.ask.Answer, FirstBy: it.ask.FirstBy, GiveUp: it.ask.GiveUp,
+		Gap: it.ask.Gap, Worth: it.ask.Worth,
 	}
 }
 
@@ -215,10 +268,14 @@
 func (fo *Forwarder) decide(now time.Time, it *item, listings []cataloger.Listing, flights map[ml.EndpointID][]ml.Flight) (outcome, bool) {
 	candidates := make([]placer.Candidate, 0, len(listings))
 	for _, li := range listings {
-		candidates = append(candidates, fo.candidate(now, it.rq, li, flights[li.ID]))
+		ca := fo.candidate(now, li, flights[li.ID])
+		ca.Closed = ca.Closed || it.rq != nil && (fo.full(now, it.rq, li) || slices.Contains(it.rq.seen, li.ID))
+		candidates = append(candidates, ca)
 	}
 	ch := placer.Choose(now, &it.ask, candidates)
 	switch {
+	case it.rq == nil && ch.Lost:
+		return outcome{}, false
 	case ch.Lost && ch.Seen == 0 && now.Sub(it.since) < it.rq.Route.Target/holdShare:
 		return outcome{}, false
 	case ch.Lost:
@@ -239,12 +296,12 @@
 }
 
 // candidate tells what is known of an endpoint that may take a request.
-func (fo *Forwarder) candidate(now time.Time, rq *Request, li cataloger.Listing, flights []ml.Flight) placer.Candidate {
+func (fo *Forwarder) candidate(now time.Time, li cataloger.Listing, flights []ml.Flight) placer.Candidate {
 	ca := placer.Candidate{
 		Endpoint: li.ListedEndpoint, Flights: flights,
 		Failing: fo.Detector.Failing(now, li.ID, li.Incarnation),
 	}
-	ca.Closed = fo.Detector.Closed(now, li.ID, li.Incarnation, len(flights)) || fo.full(now, rq, li) || slices.Contains(rq.seen, li.ID)
+	ca.Closed = fo.Detector.Closed(now, li.ID, li.Incarnation, len(flights))
 	return ca
 }
 
@@ -270,6 +327,9 @@
 		}
 		pl.flights = append(pl.flights, fl.ID)
 		flights[ep.ID] = append(flights[ep.ID], fl)
+		if it.rq == nil {
+			continue
+		}
 		fo.Tracker.Add(now, fl)
 		fo.Detector.Tried(now, ep.ID, ep.Incarnation)
 	}
@@ -300,7 +360,8 @@
 	flights := fo.Tracker.Flights(now)
 	candidates := []placer.ServiceCandidate{}
 	for _, li := range fo.Catalog.Usable(now, rq.Service) {
-		ca := fo.candidate(now, rq, li, flights[li.ID])
+		ca := fo.candidate(now, li, flights[li.ID])
+		ca.Closed = ca.Closed || fo.full(now, rq, li) || slices.Contains(rq.seen, li.ID)
 		candidates = append(candidates, placer.ServiceCandidate{
 			Endpoint: ca.Endpoint, Running: len(ca.Flights), Failing: ca.Failing, Closed: ca.Closed,
 		})
--- /dev/null
+++ b/internal/state/tracker/shared.go
@@ -0,0 +1,46 @@
+package tracker
+
+import (
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+)
+
+func encode(now time.Time, fl *ml.Flight) ml.SharedFlight {
+	sf := ml.SharedFlight{
+		ID: fl.ID, Endpoint: fl.Endpoint, SentMs: now.Sub(fl.Sent).Milliseconds(), ReadingUs: fl.Reading.Microseconds(),
+		WritingMs: fl.Writing.Milliseconds(), Memory: fl.Memory, FirstMs: fl.FirstBy.Sub(now).Milliseconds(),
+		GapMs: fl.Gap.Milliseconds(), Worth: fl.Worth, Helper: fl.Helper,
+	}
+	if !fl.Began.IsZero() {
+		sf.BeganMs = max(now.Sub(fl.Began).Milliseconds(), 1)
+	}
+	return sf
+}
+
+func decode(now time.Time, sf ml.SharedFlight) *ml.Flight {
+	fl := &ml.Flight{
+		ID: sf.ID, Endpoint: sf.Endpoint, Sent: now.Add(-time.Duration(sf.SentMs) * time.Millisecond),
+		Reading: time.Duration(sf.ReadingUs) * time.Microsecond, Writing: time.Duration(sf.WritingMs) * time.Millisecond,
+		Memory: sf.Memory, FirstBy: now.Add(time.Duration(sf.FirstMs) * time.Millisecond),
+		Gap: time.Duration(sf.GapMs) * time.Millisecond, Worth: sf.Worth, Helper: sf.Helper,
+	}
+	if sf.BeganMs > 0 {
+		fl.Began = now.Add(-time.Duration(sf.BeganMs) * time.Millisecond)
+	}
+	return fl
+}
+
+func encodeWaiting(now time.Time, wa ml.Waiting) ml.SharedWaiting {
+	return ml.SharedWaiting{
+		ID: wa.ID, Service: wa.Service, Prompt: wa.Prompt, Answer: wa.Answer, FirstMs: wa.FirstBy.Sub(now).Milliseconds(),
+		GiveUpMs: wa.GiveUp.Sub(now).Milliseconds(), GapMs: wa.Gap.Milliseconds(), Worth: wa.Worth,
+	}
+}
+
+func decodeWaiting(now time.Time, sw ml.SharedWaiting) ml.Waiting {
+	return ml.Waiting{
+		ID: sw.ID, Service: sw.Service, Prompt: sw.Prompt, Answer: sw.Answer, FirstBy: now.Add(time.Duration(sw.FirstMs) * time.Millisecond),
+		GiveUp: now.Add(time.Duration(sw.GiveUpMs) * time.Millisecond), Gap: time.Duration(sw.GapMs) * time.Millisecond, Worth: sw.Worth,
+	}
+}
--- a/internal/state/tracker/tracker.go
+++ b/internal/state/tracker/tracker.go
@@ -14,6 +14,9 @@
 	silence = 3 * time.Second
 	// maxAge bounds how long any flight is believed.
 	maxAge = time.Minute
+	// staleWaiting is the time after which a peer that was not heard no longer
+	// has its waiting requests reckoned with.
+	staleWaiting = 1200 * time.Millisecond
 	// recentSpan is the span over which sends to an endpoint are counted.
 	recentSpan = time.Second
 )
@@ -27,7 +30,8 @@
 
 	mu      sync.Mutex
 	own     map[ml.FlightID]*ml.Flight
-	changes ml.Shared // of own flights, not yet told
+	waiting map[ml.FlightID]ml.Waiting // own requests
+	changes ml.Shared                  // of own flights, not yet told
 	peers   map[ml.VMID]*peer
 	sends   map[ml.EndpointID][]time.Time
 }
@@ -37,6 +41,7 @@
 	heard   time.Time
 	leaving bool
 	flights map[ml.FlightID]*ml.Flight
+	waiting map[ml.FlightID]ml.Waiting
 }
 
 // Add records a flight of this entry VM.
@@ -86,6 +91,43 @@
 	tr.changed()
 }
 
+// Wait records that a request of this entry VM waits.
+func (tr *Tracker) Wait(now time.Time, wa ml.Waiting) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if tr.waiting == nil {
+		tr.waiting = make(map[ml.FlightID]ml.Waiting)
+	}
+	tr.waiting[wa.ID] = wa
+	tr.changes.Waiting = append(tr.changes.Waiting, encodeWaiting(now, wa))
+}
+
+// Placed records that a request no longer waits.
+func (tr *Tracker) Placed(id ml.FlightID) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if _, found := tr.waiting[id]; found {
+		delete(tr.waiting, id)
+		tr.changes.Ended = append(tr.changes.Ended, id)
+	}
+}
+
+// PeersWaiting returns the requests that wait at other entry VMs.
+func (tr *Tracker) PeersWaiting(now time.Time) []ml.Waiting {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	out := []ml.Waiting{}
+	for _, pe := range tr.peers {
+		if now.Sub(pe.heard) >= staleWaiting {
+			continue
+		}
+		for _, wa := range pe.waiting {
+			out = append(out, wa)
+		}
+	}
+	return out
+}
+
 // Failed notes for the peers that an endpoint has failed a request.
 func (tr *Tracker) Failed(id ml.EndpointID) {
 	tr.mu.Lock()
@@ -100,7 +142,7 @@
 	defer tr.mu.Unlock()
 	sh := tr.changes
 	tr.changes = ml.Shared{}
-	return sh, len(sh.Flights)+len(sh.Began)+len(sh.Ended)+len(sh.Failed) > 0
+	return sh, len(sh.Flights)+len(sh.Waiting)+len(sh.Began)+len(sh.Ended)+len(sh.Failed) > 0
 }
 
 // Whole returns all flights of this entry VM.
@@ -111,23 +153,20 @@
 	for _, fl := range tr.own {
 		sh.Flights = append(sh.Flights, encode(now, fl))
 	}
+	for _, wa := range tr.waiting {
+		sh.Waiting = append(sh.Waiting, encodeWaiting(now, wa))
+	}
 	return sh
 }
 
 // Learn takes in what a peer has told.
 func (tr *Tracker) Learn(now time.Time, sh ml.Shared) {
 	tr.mu.Lock()
-	if tr.peers == nil {
-		tr.peers = make(map[ml.VMID]*peer)
-	}
-	pe := tr.peers[sh.From]
-	if pe == nil {
-		pe = &peer{flights: make(map[ml.FlightID]*ml.Flight)}
-		tr.peers[sh.From] = pe
-	}
+	pe := tr.peer(sh.From)
 	pe.heard, pe.leaving = now, sh.Leaving
 	if sh.Whole {
 		clear(pe.flights)
+		clear(pe.waiting)
 	}
 	for _, sf := range sh.Flights {
 		fl := decode(now, sf)
@@ -136,6 +175,9 @@
 		}
 		pe.flights[fl.ID] = fl
 	}
+	for _, sw := range sh.Waiting {
+		pe.waiting[sw.ID] = decodeWaiting(now, sw)
+	}
 	for _, id := range sh.Began {
 		if fl := pe.flights[id]; fl != nil {
 			fl.Began = now
@@ -143,6 +185,7 @@
 	}
 	for _, id := range sh.Ended {
 		delete(pe.flights, id)
+		delete(pe.waiting, id)
 	}
 	freer := len(sh.Began)+len(sh.Ended) > 0
 	tr.mu.Unlock()
@@ -151,6 +194,19 @@
 	}
 }
 
+// peer returns what is known of another entry VM.
+func (tr *Tracker) peer(id ml.VMID) *peer {
+	if tr.peers == nil {
+		tr.peers = make(map[ml.VMID]*peer)
+	}
+	pe := tr.peers[id]
+	if pe == nil {
+		pe = &peer{flights: make(map[ml.FlightID]*ml.Flight), waiting: make(map[ml.FlightID]ml.Waiting)}
+		tr.peers[id] = pe
+	}
+	return pe
+}
+
 // Peers returns how many other entry VMs have been heard lately.
 func (tr *Tracker) Peers(now time.Time) int {
 	tr.mu.Lock()
@@ -221,28 +277,3 @@
 		tr.Changed()
 	}
 }
-
-func encode(now time.Time, fl *ml.Flight) ml.SharedFlight {
-	sf := ml.SharedFlight{
-		ID: fl.ID, Endpoint: fl.Endpoint, SentMs: now.Sub(fl.Sent).Milliseconds(), ReadingUs: fl.Reading.Microseconds(),
-		WritingMs: fl.Writing.Milliseconds(), Memory: fl.Memory, FirstMs: fl.FirstBy.Sub(now).Milliseconds(),
-		GapMs: fl.Gap.Milliseconds(), Worth: fl.Worth, Helper: fl.Helper,
-	}
-	if !fl.Began.IsZero() {
-		sf.BeganMs = max(now.Sub(fl.Began).Milliseconds(), 1)
-	}
-	return sf
-}
-
-func decode(now time.Time, sf ml.SharedFlight) *ml.Flight {
-	fl := &ml.Flight{
-		ID: sf.ID, Endpoint: sf.Endpoint, Sent: now.Add(-time.Duration(sf.SentMs) * time.Millisecond),
-		Reading: time.Duration(sf.ReadingUs) * time.Microsecond, Writing: time.Duration(sf.WritingMs) * time.Millisecond,
-		Memory: sf.Memory, FirstBy: now.Add(time.Duration(sf.FirstMs) * time.Millisecond),
-		Gap: time.Duration(sf.GapMs) * time.Millisecond, Worth: sf.Worth, Helper: sf.Helper,
-	}
-	if sf.BeganMs > 0 {
-		fl.Began = now.Add(-time.Duration(sf.BeganMs) * time.Millisecond)
-	}
-	return fl
-}
--- a/serving.go
+++ b/serving.go
@@ -136,6 +136,18 @@
 	Last     time.Time     // when the last event came
 }
 
+// Waiting is a request that waits for a place at an engine.
+type Waiting struct {
+	ID      FlightID
+	Service ServiceName
+	Prompt  Tokens
+	Answer  Tokens // expected
+	FirstBy time.Time
+	GiveUp  time.Time
+	Gap     time.Duration
+	Worth   float64
+}
+
 // Helper is a further engine that reads a part of a prompt.
 type Helper struct {
 	Endpoint Endpoint
