--- a/internal/command/commander/commander.go
+++ b/internal/command/commander/commander.go
@@ -92,6 +92,7 @@
 	}
 	add(pa.Command, "report", "print the report on service-level burn", &reportCommand{})
 	add(pa.Command, "status", "print what every entry VM says of itself", &statusCommand{})
+	add(pa.Command, "explain", "print the way of one request from log files", &explainCommand{})
 	add(pa.Command, "version", "print the release", &versionCommand{release: co.Release})
 }
 
@@ -120,7 +121,7 @@
 }
 
 type frontCommand struct {
-	MetricsPort int `long:"metrics-port" description:"port of the metrics; 0 for none"`
+	MetricsPort int `long:"metrics-port" default:"0" description:"port of the metrics; 0 for none"`
 	release     string
 }
 
--- /dev/null
+++ b/internal/command/explainer/explainer_test.go
@@ -0,0 +1,30 @@
+package explainer_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/mulberrylever/mulberrylever/internal/command/explainer"
+)
+
+// TestScripts runs the scripts below testdata: a log and what is told of a
+// request in it.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+			request := ""
+			td.ScanArgs(t, "request", &request)
+			ex := &explainer.Explainer{Request: request}
+			if err := ex.Read(strings.NewReader(td.Input)); err != nil {
+				return err.Error()
+			}
+			out := &strings.Builder{}
+			if err := ex.Write(out); err != nil {
+				return err.Error()
+			}
+			return out.String()
+		})
+	})
+}
