fix: all entry VMs give waiting requests their turn in one order

Cause: each ordered the others' waiting requests by times counted from the message's arrival, so that each took its own for the most urgent when several were within a few ms (TestOnePlaceFree: 6 sent for one free place). Now the order is a number set where the request waits; steps of the time of day don't change it.

--- a/exchange.go
+++ b/exchange.go
@@ -120,6 +120,7 @@
 	GiveUpMs int64       `json:"u"`
 	GapMs    int64       `json:"g"`
 	Worth    float64     `json:"v"`
+	Order    int64       `json:"o"`
 }
 
 // SharePeers reaches other entry VMs for what they share.
--- a/internal/duty/forwarder/queue.go
+++ b/internal/duty/forwarder/queue.go
@@ -60,6 +60,7 @@
 	ask     placer.Request
 	since   time.Time
 	urgency time.Time // latest moment at which one engine could begin
+	order   int64     // of the urgency, as the entry VM of the request counts time
 	told    bool      // the other entry VMs know that it waits
 	result  chan<- outcome
 }
@@ -122,7 +123,7 @@
 // already come after those that are not. All entry VMs order alike.
 func sortItems(items []*item, now time.Time) {
 	slices.SortStableFunc(items, func(a, b *item) int {
-		return cmp.Or(lateness(a, now)-lateness(b, now), a.urgency.Compare(b.urgency), cmp.Compare(a.id, b.id))
+		return cmp.Or(lateness(a, now)-lateness(b, now), cmp.Compare(a.order, b.order), cmp.Compare(a.id, b.id))
 	})
 }
 
@@ -162,6 +163,7 @@
 		id: fo.flightID(), rq: rq, service: rq.Service, ask: ask, since: now, result: result,
 		urgency: ask.FirstBy.Add(-forecaster.Reading(ask.Figures, ask.Prompt, 1)),
 	}
+	it.order = fo.Began.UnixMilli() + it.urgency.Sub(fo.Began).Milliseconds() // no jump of the time of day changes it
 	if !fo.queue.add(it) {
 		return nil, &lostError{why: "too many requests wait", retry: defaultRetry}
 	}
@@ -250,7 +252,7 @@
 			Figures: rq.Spec.Engine, Prompt: wa.Prompt, Answer: wa.Answer, FirstBy: wa.FirstBy, GiveUp: wa.GiveUp, Gap: wa.Gap, Worth: wa.Worth,
 		}
 		out = append(out, &item{
-			id: wa.ID, service: wa.Service, ask: ask, since: now, urgency: wa.FirstBy.Add(-forecaster.Reading(ask.Figures, ask.Prompt, 1)),
+			id: wa.ID, service: wa.Service, ask: ask, since: now, order: wa.Order, urgency: wa.FirstBy.Add(-forecaster.Reading(ask.Figures, ask.Prompt, 1)),
 		})
 	}
 	return out
@@ -260,7 +262,7 @@
 func (it *item) waiting() ml.Waiting {
 	return ml.Waiting{
 		ID: it.id, Service: it.service, Prompt: it.ask.Prompt, Answer: it.ask.Answer, FirstBy: it.ask.FirstBy, GiveUp: it.ask.GiveUp,
-		Gap: it.ask.Gap, Worth: it.ask.Worth,
+		Gap: it.ask.Gap, Worth: it.ask.Worth, Order: it.order,
 	}
 }
 
--- /dev/null
+++ b/internal/duty/forwarder/queue_test.go
@@ -0,0 +1,132 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/detector"
+	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
+	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
+)
+
+// oneEngine lists a single engine of service "lm", whatever the record.
+type oneEngine struct{}
+
+func (oneEngine) Config(ml.KeyRecord) (ml.ServingConfig, bool, error) {
+	return ml.ServingConfig{}, false, nil
+}
+func (oneEngine) Domain(ml.KeyRecord) (ml.DomainID, bool) { return "", false }
+func (oneEngine) Endpoint(re ml.KeyRecord) (ml.ListedEndpoint, bool, error) {
+	return ml.ListedEndpoint{Endpoint: ml.Endpoint{ID: ml.EndpointID(re.Key), Service: "lm", State: ml.StateLive}}, true, nil
+}
+
+// mute counts what is sent to it and never answers.
+type mute struct{ sent *atomic.Int64 }
+
+func (mu mute) Exchange(ctx context.Context, _ ml.ListedEndpoint, _ *ml.Outgoing) (*ml.Answer, error) {
+	mu.sent.Add(1)
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (mute) SetAside(context.Context, ml.ListedEndpoint, ml.TicketID, ml.Tokens, time.Duration) error {
+	return nil
+}
+func (mute) GiveBack(context.Context, ml.ListedEndpoint, ml.TicketID) error { return nil }
+
+// noMeter counts nothing.
+type noMeter struct{}
+
+func (noMeter) Finished(*Request, string, time.Duration)     {}
+func (noMeter) Sent(*Request, int)                           {}
+func (noMeter) First(*Request, time.Duration, time.Duration) {}
+
+// noAnswer takes answers.
+type noAnswer struct{}
+
+func (noAnswer) Begin(int, http.Header, int64) error { return nil }
+func (noAnswer) Write([]byte) error                  { return nil }
+func (noAnswer) Refuse(ml.Refusal)                   {}
+func (noAnswer) Abort()                              {}
+
+// TestOnePlaceFree replays what a wave of short prompts does: one waits at each
+// of several entry VMs when one place at an engine becomes free, and all hear of
+// it at the same moment. Only one of them may take it.
+func TestOnePlaceFree(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	const vms, places = 6, 4
+	sent := &atomic.Int64{}
+	all := make([]*Forwarder, vms)
+	for i := range all {
+		all[i] = newForwarder(ctx, ml.VMID(fmt.Sprintf("vm%d", i)), sent)
+	}
+	go share(ctx, all)
+	full := ml.Shared{From: "other", Whole: true}
+	for i := range places - 1 {
+		full.Flights = append(full.Flights, ml.SharedFlight{ID: ml.FlightID(fmt.Sprint("f", i)), Endpoint: "e", BeganMs: 1, WritingMs: 60_000, GapMs: 1000, Worth: 1})
+	}
+	for _, fo := range all {
+		fo.Tracker.Learn(time.Now(), full)
+		go fo.Forward(ctx, request(places), noAnswer{})
+	}
+	for _, fo := range all {
+		g.Eventually(func() int { return len(fo.Tracker.PeersWaiting(time.Now())) }, "2s", "2ms").Should(gomega.Equal(vms - 1))
+	}
+	for _, fo := range all {
+		go fo.Tracker.Learn(time.Now(), ml.Shared{From: "other", Ended: []ml.FlightID{"f0"}})
+	}
+	g.Eventually(sent.Load, "2s", "1ms").Should(gomega.Equal(int64(1)))
+	g.Consistently(sent.Load, "300ms", "5ms").Should(gomega.Equal(int64(1)))
+}
+
+func newForwarder(ctx context.Context, self ml.VMID, sent *atomic.Int64) *Forwarder {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	fo := &Forwarder{
+		Self: self, Began: time.Now(), Exchanger: mute{sent}, Catalog: &cataloger.Cataloger{Decoder: oneEngine{}, Log: log}, Tracker: &tracker.Tracker{},
+		Detector: &detector.Detector{}, Log: log, Metrics: noMeter{}, Told: func() {},
+	}
+	fo.Tracker.Changed = fo.Wake
+	fo.Catalog.Merge(time.Now(), []ml.KeyRecord{{Topic: "t", Key: "e", Value: []byte("x")}}, nil)
+	go func() { _ = fo.Run(ctx) }()
+	return fo
+}
+
+// share tells each entry VM what the others have changed, as the sharer does.
+func share(ctx context.Context, all []*Forwarder) {
+	for ctx.Err() == nil {
+		for _, from := range all {
+			sh, any := from.Tracker.Changes()
+			if !any {
+				continue
+			}
+			sh.From = from.Self
+			for _, to := range all {
+				if to != from {
+					to.Tracker.Learn(time.Now(), sh)
+				}
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func request(places int) *Request {
+	now := time.Now()
+	spec := &ml.ServiceSpec{Name: "lm", Engine: &ml.EngineFigures{Slots: places, Memory: 100_000, Stride: 10, Chunk: 2048, Step: time.Millisecond, ReadRate: 100_000}}
+	return &Request{
+		Route:   &ml.Route{Kind: ml.RouteStream, Resumable: true, MaxAttempts: 2, Target: 20 * time.Second, GapTarget: time.Second},
+		Service: "lm", Spec: spec, Prompt: 1000, Answer: 100, Arrived: now, FirstBy: now.Add(20 * time.Second),
+		GiveUp: now.Add(40 * time.Second), Deadline: now.Add(40 * time.Second),
+	}
+}
--- a/serving.go
+++ b/serving.go
@@ -146,6 +146,7 @@
 	GiveUp  time.Time
 	Gap     time.Duration
 	Worth   float64
+	Order   int64 // the least goes first; the same at all entry VMs
 }
 
 // Helper is a further engine that reads a part of a prompt.
