--- /dev/null
+++ b/internal/adapter/messenger/share_test.go
@@ -0,0 +1,74 @@
+package messenger_test
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/messenger"
+)
+
+// sharing answers with how far it has read, and keeps the last message.
+type sharing struct{ got chan ml.Shared }
+
+func (sh sharing) OnShare(ms ml.Shared) ml.ShareAck {
+	select {
+	case sh.got <- ms:
+	default:
+	}
+	return ml.ShareAck{Heads: map[ml.TopicName]ml.Offset{"t": 7}}
+}
+
+func (sh sharing) OnRecords(after map[ml.TopicName]ml.Offset) []ml.KeyRecord {
+	return []ml.KeyRecord{{Topic: "t", Key: "k", Value: []byte("v"), Offset: after["t"]}}
+}
+
+func serve(tb testing.TB) (string, sharing) {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	sh := sharing{make(chan ml.Shared, 1)}
+	go func() { _ = (&messenger.Server{Sharing: sh}).Serve(li) }()
+	tb.Cleanup(func() { _ = li.Close() })
+	return li.Addr().String(), sh
+}
+
+func message() ml.Shared {
+	return ml.Shared{
+		From: "vm", Address: "10.0.0.1:7340", Began: []ml.FlightID{"vm-1"}, Ended: []ml.FlightID{"vm-0"},
+		Flights: []ml.SharedFlight{{ID: "vm-2", Endpoint: "e", ReadingUs: 30_000, WritingMs: 1500, Memory: 6000, FirstMs: 280, GapMs: 250, Worth: 1.5}},
+	}
+}
+
+// TestShare checks that what is shared arrives whole, and its answers too.
+func TestShare(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address, sh := serve(t)
+	me := &messenger.Messenger{}
+	defer me.Close()
+	ack, err := me.Share(context.Background(), address, message())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(ack.Heads).To(gomega.HaveKeyWithValue(ml.TopicName("t"), ml.Offset(7)))
+	g.Expect(<-sh.got).To(gomega.Equal(message()))
+	records, err := me.Records(context.Background(), address, map[ml.TopicName]ml.Offset{"t": 3})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(records).To(gomega.Equal([]ml.KeyRecord{{Topic: "t", Key: "k", Value: []byte("v"), Offset: 3}}))
+	_, err = me.Share(context.Background(), "127.0.0.1:1", message())
+	g.Expect(err).To(gomega.HaveOccurred())
+}
+
+// BenchmarkShare measures one message and its answer, both ends in one process.
+func BenchmarkShare(b *testing.B) {
+	address, _ := serve(b)
+	me := &messenger.Messenger{}
+	defer me.Close()
+	for b.Loop() {
+		if _, err := me.Share(context.Background(), address, message()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
