--- a/exchange.go
+++ b/exchange.go
@@ -86,10 +86,11 @@
 	Flights []SharedFlight       `json:"flights,omitempty"`
 	Waiting []SharedWaiting      `json:"waiting,omitempty"`
 	Began   []FlightID           `json:"began,omitempty"`
-	Ended   []FlightID           `json:"ended,omitempty"`  // flights, and requests that no longer wait
-	Failed  []EndpointID         `json:"failed,omitempty"` // an endpoint failed a request
-	Known   []string             `json:"known,omitempty"`  // addresses of entry VMs that the sender hears
-	Heads   map[TopicName]Offset `json:"heads,omitempty"`  // how far the sender has read
+	Ended   []FlightID           `json:"ended,omitempty"`   // flights, and requests that no longer wait
+	Failed  []EndpointID         `json:"failed,omitempty"`  // an endpoint failed a request
+	Records []KeyRecord          `json:"records,omitempty"` // news of the platform's store
+	Known   []string             `json:"known,omitempty"`   // addresses of entry VMs that the sender hears
+	Heads   map[TopicName]Offset `json:"heads,omitempty"`   // how far the sender has read
 	Leaving bool                 `json:"leaving,omitempty"`
 }
 
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -34,7 +34,7 @@
 	// busyCost is the loss that an engine-second stands for when all engines
 	// are busy. It keeps prompts that would be late anyway from taking the
 	// engines from those that would not.
-	busyCost = 2.0
+	busyCost = 0.7
 	// sparePlaces is the number of places kept free at an engine, since another
 	// entry VM may be taking one at the same moment.
 	sparePlaces = 1
--- a/internal/duty/forwarder/attempt.go
+++ b/internal/duty/forwarder/attempt.go
@@ -16,13 +16,26 @@
 	// maxKept bounds an answer that is read whole before it is passed on, in
 	// bytes. A longer one is passed on while it comes.
 	maxKept = 512 << 10
-	// leadPriority and usualPriority are the priorities at engines of prompts
-	// that must not wait and of the others.
-	shortPriority, usualPriority, longPriority = 2, 5, 7
-	// shortPrompt and longPrompt bound what goes before and after others.
-	shortPrompt, longPrompt ml.Tokens = 24_000, 120_000
+	// shortPrompt, mediumPrompt and longPrompt are the upper bounds of lengths.
+	shortPrompt, mediumPrompt, longPrompt ml.Tokens = 24_000, 120_000, 300_000
 )
 
+// priorities are the priorities at engines by length: the shorter goes first.
+var priorities = [ml.Lengths]ml.Priority{ml.Short: 2, ml.Medium: 5, ml.Long: 7, ml.Huge: 7}
+
+// Length returns the length of the prompt.
+func (rq *Request) Length() ml.Length {
+	switch {
+	case rq.Prompt < shortPrompt:
+		return ml.Short
+	case rq.Prompt < mediumPrompt:
+		return ml.Medium
+	case rq.Prompt < longPrompt:
+		return ml.Long
+	}
+	return ml.Huge
+}
+
 // attempt sends a request to where it was placed and passes the answer on.
 func (fo *Forwarder) attempt(ctx context.Context, rq *Request, rs ml.Responder, pl *placement) end {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -59,13 +72,7 @@
 	out.Header = rq.Out.Header.Clone()
 	out.Left = time.Until(rq.Deadline)
 	out.After = rq.last
-	out.Priority = usualPriority
-	switch {
-	case rq.Prompt < shortPrompt:
-		out.Priority = shortPriority
-	case rq.Prompt > longPrompt:
-		out.Priority = longPriority
-	}
+	out.Priority = priorities[rq.Length()]
 	out.Helpers = pl.helperList()
 	return &out
 }
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -79,9 +79,14 @@
 
 // Meter counts what becomes of requests.
 type Meter interface {
-	Finished(rq *Request, outcome string, took time.Duration)
-	Sent(rq *Request, sends int)
+	// Placed counts a request that has a place after a wait.
+	Placed(rq *Request, waited time.Duration)
+	// Sent counts a request that goes out for the nth time, 1 for the first.
+	Sent(rq *Request, nth int)
+	// First counts the first event of a stream.
 	First(rq *Request, predicted, took time.Duration)
+	// Finished counts a request that has ended.
+	Finished(rq *Request, outcome string, took time.Duration)
 }
 
 // end is how an attempt ended.
@@ -142,9 +147,11 @@
 	}
 	fo.Log.Info("placed", "request", rq.Out.Attempt, "endpoint", pl.lead.ID, "helpers", pl.helperIDs(), "waitedMs", pl.waited.Milliseconds(),
 		"firstMs", pl.predicted.Milliseconds(), "loss", pl.loss, "worth", pl.worth, "seen", pl.seen, "prompt", rq.Prompt)
+	fo.Metrics.Placed(rq, pl.waited)
 	en := fo.attempt(ctx, rq, rs, pl)
 	if en.arrived {
 		rq.sends++
+		fo.Metrics.Sent(rq, rq.sends)
 		rq.seen = append(rq.seen, pl.lead.ID)
 	}
 	if en.arrived && !en.notRun {
--- a/internal/duty/forwarder/queue_test.go
+++ b/internal/duty/forwarder/queue_test.go
@@ -47,6 +47,7 @@
 type noMeter struct{}
 
 func (noMeter) Finished(*Request, string, time.Duration)     {}
+func (noMeter) Placed(*Request, time.Duration)               {}
 func (noMeter) Sent(*Request, int)                           {}
 func (noMeter) First(*Request, time.Duration, time.Duration) {}
 
--- a/internal/duty/sharer/sharer.go
+++ b/internal/duty/sharer/sharer.go
@@ -20,8 +20,11 @@
 const (
 	// gather is how long changes are gathered before they are told.
 	gather = 4 * time.Millisecond
-	// whole is the time between two messages with all that is under way.
-	whole = 500 * time.Millisecond
+	// whole is the time between two messages with all that is under way, and
+	// wholeMost what it grows to in a large fleet, by wholeMember for each.
+	whole       = 500 * time.Millisecond
+	wholeMember = 20 * time.Millisecond
+	wholeMost   = 700 * time.Millisecond
 	// callTimeout bounds one message.
 	callTimeout = time.Second
 	// ringSize is the number of messages that wait for one peer; the oldest
@@ -45,11 +48,15 @@
 	Detector *detector.Detector
 	Log      *slog.Logger
 	Leaving  func() bool
+	// Behind tells whether records should be fetched from a peer that has
+	// read up to heads.
+	Behind func(now time.Time, heads map[ml.TopicName]ml.Offset) bool
 
 	signal  chan struct{}
 	mu      sync.Mutex
 	members map[string]*member
-	sync    atomic.Bool // a fetch of records is under way
+	news    []ml.KeyRecord // from the store, not yet told
+	sync    atomic.Bool    // a fetch of records is under way
 }
 
 // member is another entry VM.
@@ -78,23 +85,39 @@
 	for _, address := range sh.Seeds {
 		sh.add(ctx, time.Now(), address)
 	}
-	tick := time.NewTicker(whole)
-	defer tick.Stop()
+	ti := time.NewTimer(whole)
+	defer ti.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-tick.C:
-			sh.tellWhole(ctx, time.Now())
+		case <-ti.C:
+			ti.Reset(sh.tellWhole(ctx, time.Now()))
 		case <-sh.signal:
 			sleep(ctx, gather)
-			if changes, any := sh.Tracker.Changes(); any {
-				sh.tell(changes)
-			}
+			sh.tellChanges()
 		}
 	}
 }
 
+// Publish tells the other entry VMs of records that the store has given.
+func (sh *Sharer) Publish(records []ml.KeyRecord) {
+	sh.mu.Lock()
+	sh.news = append(sh.news, records...)
+	sh.mu.Unlock()
+	sh.Signal()
+}
+
+func (sh *Sharer) tellChanges() {
+	changes, any := sh.Tracker.Changes()
+	sh.mu.Lock()
+	changes.Records, sh.news = sh.news, nil
+	sh.mu.Unlock()
+	if any || len(changes.Records) > 0 {
+		sh.tell(changes)
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -124,9 +147,9 @@
 }
 
 // tellWhole sends everything to all members, and drops those that have not
-// been heard for long.
-func (sh *Sharer) tellWhole(ctx context.Context, now time.Time) {
-	_, _ = sh.Tracker.Changes() // contained in the whole
+// been heard for long. It returns the time until the next such message.
+func (sh *Sharer) tellWhole(ctx context.Context, now time.Time) time.Duration {
+	sh.tellChanges()
 	all := sh.Tracker.Whole(now)
 	all.Heads = sh.Catalog.Heads()
 	all.Known = sh.known(now)
@@ -135,6 +158,7 @@
 	for _, address := range sh.Seeds {
 		sh.add(ctx, now, address)
 	}
+	return min(max(whole, wholeMember*time.Duration(len(all.Known))), wholeMost)
 }
 
 func (sh *Sharer) known(now time.Time) []string {
@@ -225,14 +249,10 @@
 
 // catchUp fetches the records that a peer has read and this entry VM has not.
 func (sh *Sharer) catchUp(ctx context.Context, address string, heads map[ml.TopicName]ml.Offset) {
-	own := sh.Catalog.Heads()
-	behind := false
-	for to, head := range heads {
-		behind = behind || head > own[to]
-	}
-	if !behind || !sh.sync.CompareAndSwap(false, true) {
+	if !sh.Behind(time.Now(), heads) || !sh.sync.CompareAndSwap(false, true) {
 		return
 	}
+	own := sh.Catalog.Heads()
 	defer sh.sync.Store(false)
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -248,6 +268,7 @@
 func (sh *Sharer) OnShare(ms ml.Shared) ml.ShareAck {
 	now := time.Now()
 	sh.Tracker.Learn(now, ms)
+	sh.Catalog.Merge(now, ms.Records, nil)
 	for _, id := range ms.Failed {
 		sh.Detector.Note(now, id, "", detector.PeerFailed)
 	}
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -38,6 +38,9 @@
 type Cataloger struct {
 	Decoder Decoder
 	Log     *slog.Logger
+	// News is called without locks held with records from the store that
+	// change more than a heartbeat's number; nil for nothing.
+	News func([]ml.KeyRecord)
 	// Grace is how long an endpoint whose record went while the store was
 	// away goes on being used.
 	Grace time.Duration
@@ -47,6 +50,7 @@
 	mu        sync.Mutex
 	records   map[ml.TopicName]map[string]ml.KeyRecord
 	heads     map[ml.TopicName]ml.Offset
+	read      map[ml.TopicName]time.Time // when the store was last read
 	config    *ml.ServingConfig
 	out       map[ml.DomainID]bool
 	endpoints map[ml.EndpointID]Listing
@@ -57,10 +61,39 @@
 // Merge takes in records, and how far the topic has been read by their source.
 // Records that are older than what is known change nothing.
 func (ca *Cataloger) Merge(now time.Time, records []ml.KeyRecord, heads map[ml.TopicName]ml.Offset) {
+	ca.merged(now, records, heads)
+}
+
+// FromStore takes in records that the store itself has given, up to head, and
+// passes on what is news.
+func (ca *Cataloger) FromStore(now time.Time, to ml.TopicName, records []ml.KeyRecord, head ml.Offset) {
+	ca.mu.Lock()
+	if ca.read == nil {
+		ca.read = make(map[ml.TopicName]time.Time)
+	}
+	ca.read[to] = now
+	ca.mu.Unlock()
+	news := ca.merged(now, records, map[ml.TopicName]ml.Offset{to: head})
+	if len(news) > 0 && ca.News != nil {
+		ca.News(news)
+	}
+}
+
+// LastRead returns when the store was last read for a topic.
+func (ca *Cataloger) LastRead(to ml.TopicName) time.Time {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	return ca.read[to]
+}
+
+// merged takes in records and returns those that change something.
+func (ca *Cataloger) merged(now time.Time, records []ml.KeyRecord, heads map[ml.TopicName]ml.Offset) []ml.KeyRecord {
 	ca.mu.Lock()
-	changed := false
+	news := []ml.KeyRecord{}
 	for _, re := range records {
-		changed = ca.merge(now, re) || changed
+		if ca.merge(now, re) {
+			news = append(news, re)
+		}
 	}
 	for to, head := range heads {
 		if ca.heads == nil {
@@ -69,11 +102,13 @@
 		ca.heads[to] = max(ca.heads[to], head)
 	}
 	ca.mu.Unlock()
-	if changed && ca.Changed != nil {
+	if len(news) > 0 && ca.Changed != nil {
 		ca.Changed()
 	}
+	return news
 }
 
+// merge takes in one record and tells whether it changes anything.
 func (ca *Cataloger) merge(now time.Time, re ml.KeyRecord) bool {
 	if ca.records == nil {
 		ca.records = make(map[ml.TopicName]map[string]ml.KeyRecord)
@@ -87,20 +122,19 @@
 		return false
 	}
 	keys[re.Key] = re
-	ca.apply(now, re)
-	return true
+	return ca.apply(now, re)
 }
 
-func (ca *Cataloger) apply(now time.Time, re ml.KeyRecord) {
+func (ca *Cataloger) apply(now time.Time, re ml.KeyRecord) bool {
 	if do, is := ca.Decoder.Domain(re); is {
 		ca.applyDomain(do, re)
-		return
+		return true
 	}
 	if co, is, err := ca.Decoder.Config(re); is || err != nil {
 		ca.applyConfig(re, co, err)
-		return
+		return true
 	}
-	ca.applyEndpoint(now, re)
+	return ca.applyEndpoint(now, re)
 }
 
 func (ca *Cataloger) applyDomain(do ml.DomainID, re ml.KeyRecord) {
@@ -124,34 +158,55 @@
 	ca.Log.Info("configuration in force", "version", co.Version, "routes", len(co.Routes), "teams", len(co.Teams), "offset", re.Offset)
 }
 
-func (ca *Cataloger) applyEndpoint(now time.Time, re ml.KeyRecord) {
+// applyEndpoint takes in an endpoint's record. A record that is like the last
+// one but for its number is no news.
+func (ca *Cataloger) applyEndpoint(now time.Time, re ml.KeyRecord) bool {
 	if ca.endpoints == nil {
 		ca.endpoints = make(map[ml.EndpointID]Listing)
 	}
 	id := ml.EndpointID(re.Key)
 	old, had := ca.endpoints[id]
 	if re.Value == nil {
-		if had && old.Removed.IsZero() {
-			old.Removed = now
-			ca.endpoints[id] = old
-			ca.Log.Info("endpoint", "endpoint", id, "state", "removed", "storeAwayS", now.Sub(ca.away).Seconds())
-		}
-		return
+		return ca.removeEndpoint(now, id, old, had)
 	}
 	ep, is, err := ca.Decoder.Endpoint(re)
 	if !is || err != nil {
 		delete(ca.endpoints, id)
 		ca.Log.Warn("record names no endpoint to use", "key", re.Key, "topic", re.Topic, "error", err)
-		return
+		return true
 	}
 	li := Listing{ListedEndpoint: ep, Seen: now}
 	if ep.ColdFor > 0 {
 		li.ColdUntil = now.Add(ep.ColdFor)
 	}
 	ca.endpoints[id] = li
-	if !had || old.State != ep.State || old.Incarnation != ep.Incarnation {
-		ca.Log.Info("endpoint", "endpoint", id, "state", ep.State, "service", ep.Service, "domain", ep.Domain,
-			"incarnation", ep.Incarnation, "coldMs", ep.ColdFor.Milliseconds(), "offset", re.Offset)
+	if had && old.Removed.IsZero() && old.ListedEndpoint == ep {
+		return false
+	}
+	ca.Log.Info("endpoint", "endpoint", id, "state", ep.State, "service", ep.Service, "domain", ep.Domain,
+		"incarnation", ep.Incarnation, "coldMs", ep.ColdFor.Milliseconds(), "offset", re.Offset)
+	return true
+}
+
+func (ca *Cataloger) removeEndpoint(now time.Time, id ml.EndpointID, old Listing, had bool) bool {
+	if !had || !old.Removed.IsZero() {
+		return false
+	}
+	old.Removed = now
+	ca.endpoints[id] = old
+	ca.Log.Info("endpoint", "endpoint", id, "state", "removed", "storeAwayS", now.Sub(ca.away).Seconds())
+	return true
+}
+
+// Forget drops endpoints that were removed longer than age ago.
+func (ca *Cataloger) Forget(now time.Time, age time.Duration) {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	for id, li := range ca.endpoints {
+		if !li.Removed.IsZero() && now.Sub(li.Removed) > age {
+			delete(ca.endpoints, id)
+			delete(ca.wrong, id)
+		}
 	}
 }
 
@@ -209,6 +264,21 @@
 	return lapsed && now.Sub(li.Removed) < ca.Grace
 }
 
+// States returns how many endpoints are listed in each state.
+func (ca *Cataloger) States() map[ml.VMState]int {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	out := map[ml.VMState]int{ml.StateLive: 0, ml.StateLeaving: 0, ml.StateAbsent: 0}
+	for _, li := range ca.endpoints {
+		if !li.Removed.IsZero() {
+			out[ml.StateAbsent]++
+			continue
+		}
+		out[li.State]++
+	}
+	return out
+}
+
 // Serves tells whether an endpoint may still be sent to, right before a send.
 func (ca *Cataloger) Serves(now time.Time, id ml.EndpointID, in ml.Incarnation) bool {
 	ca.mu.Lock()
--- a/internal/state/tracker/tracker.go
+++ b/internal/state/tracker/tracker.go
@@ -208,12 +208,16 @@
 }
 
 // Peers returns how many other entry VMs have been heard lately.
-func (tr *Tracker) Peers(now time.Time) int {
+func (tr *Tracker) Peers(now time.Time) int { return tr.PeersWithin(now, silence) }
+
+// PeersWithin returns how many other entry VMs have been heard within a span
+// before now.
+func (tr *Tracker) PeersWithin(now time.Time, span time.Duration) int {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	n := 0
 	for _, pe := range tr.peers {
-		if now.Sub(pe.heard) < silence && !pe.leaving {
+		if now.Sub(pe.heard) < span && !pe.leaving {
 			n++
 		}
 	}
