--- a/Makefile
+++ b/Makefile
@@ -23,8 +23,8 @@
 	@out=$$($(GOFUMPT) -l .); if [ -n "$$out" ]; then echo "gofumpt differs in:"; echo "$$out"; exit 1; fi
 	$(LINT) run ./...
 
-demo: build ## a fleet of real processes; FLEET=tinjau or guild
-	FLEET=$(FLEET) scripts/demo.sh
+demo: build ## a fleet of real processes; FLEET=tinjau or guild; PLATFORM=1 on a stand-in of the users' platform
+	$(if $(PLATFORM),scripts/platform-demo.sh,FLEET=$(FLEET) scripts/demo.sh)
 
 soak: ## a long random run with failures; SEED=n DURATION=d FLEET=tinjau or guild
 	SEED=$(SEED) DURATION=$(DURATION) FLEET=$(FLEET) go test -tags soak ./internal/proof/prover/ -count=1 -timeout 3h -v -ginkgo.focus "soak keeps every invariant"
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -141,6 +141,7 @@
 	add(pa, "compare", "judge the targets of the routing policies", &compareCommand{})
 	add(pa, "call", "make one call that may not be repeated", &callCommand{})
 	add(pa, "platform", "run the stand-in platform: log, list of VMs, weight store", &platformCommand{})
+	add(pa, "users-platform", "run stand-ins of the users' platform and send five kinds of request; status 4 when any was not served", &usersPlatformCommand{})
 	_, err := pa.Parse()
 	var fe *flags.Error
 	switch {
