--- a/internal/command/explainer/explainer.go
+++ b/internal/command/explainer/explainer.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -70,7 +71,8 @@
 			continue
 		}
 		ln := line{}
-		if json.Unmarshal([]byte(sc.Text()[at:]), &ln) != nil {
+		var wrong *json.UnmarshalTypeError // of one field; the others are read
+		if err := json.Unmarshal([]byte(sc.Text()[at:]), &ln); err != nil && !errors.As(err, &wrong) {
 			continue // not a line of ours
 		}
 		switch {
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -104,7 +104,7 @@
 	fo.Metrics.First(rq, pl.predicted, took)
 	fo.began(pl)
 	fo.Log.Info("first event", "request", rq.Out.Attempt, "endpoint", pl.lead.ID, "ms", took.Milliseconds(),
-		"predictedMs", pl.predicted.Milliseconds(), "prompt", rq.Prompt, "helpers", len(pl.helpers))
+		"predictedMs", pl.predicted.Milliseconds(), "prompt", rq.Prompt, "helpers", pl.helperIDs())
 }
 
 // began notes that the prompt has been read: the engines that helped without
