--- a/internal/duty/sharer/sharer.go
+++ b/internal/duty/sharer/sharer.go
@@ -48,9 +48,6 @@
 	Detector *detector.Detector
 	Log      *slog.Logger
 	Leaving  func() bool
-	// Behind tells whether records should be fetched from a peer that has
-	// read up to heads.
-	Behind func(now time.Time, heads map[ml.TopicName]ml.Offset) bool
 
 	signal  chan struct{}
 	mu      sync.Mutex
@@ -249,10 +246,14 @@
 
 // catchUp fetches the records that a peer has read and this entry VM has not.
 func (sh *Sharer) catchUp(ctx context.Context, address string, heads map[ml.TopicName]ml.Offset) {
-	if !sh.Behind(time.Now(), heads) || !sh.sync.CompareAndSwap(false, true) {
+	own := sh.Catalog.Heads()
+	behind := false
+	for to, head := range heads {
+		behind = behind || head > own[to]
+	}
+	if !behind || !sh.sync.CompareAndSwap(false, true) {
 		return
 	}
-	own := sh.Catalog.Heads()
 	defer sh.sync.Store(false)
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -50,7 +50,6 @@
 	mu        sync.Mutex
 	records   map[ml.TopicName]map[string]ml.KeyRecord
 	heads     map[ml.TopicName]ml.Offset
-	read      map[ml.TopicName]time.Time // when the store was last read
 	config    *ml.ServingConfig
 	out       map[ml.DomainID]bool
 	endpoints map[ml.EndpointID]Listing
@@ -67,25 +66,12 @@
 // FromStore takes in records that the store itself has given, up to head, and
 // passes on what is news.
 func (ca *Cataloger) FromStore(now time.Time, to ml.TopicName, records []ml.KeyRecord, head ml.Offset) {
-	ca.mu.Lock()
-	if ca.read == nil {
-		ca.read = make(map[ml.TopicName]time.Time)
-	}
-	ca.read[to] = now
-	ca.mu.Unlock()
 	news := ca.merged(now, records, map[ml.TopicName]ml.Offset{to: head})
 	if len(news) > 0 && ca.News != nil {
 		ca.News(news)
 	}
 }
 
-// LastRead returns when the store was last read for a topic.
-func (ca *Cataloger) LastRead(to ml.TopicName) time.Time {
-	ca.mu.Lock()
-	defer ca.mu.Unlock()
-	return ca.read[to]
-}
-
 // merged takes in records and returns those that change something.
 func (ca *Cataloger) merged(now time.Time, records []ml.KeyRecord, heads map[ml.TopicName]ml.Offset) []ml.KeyRecord {
 	ca.mu.Lock()
