tune: engine time costs 1.5, and who is refused for it comes back after 4 s

At 0.7 prompts of 283,000 to 700,000 tokens were taken in full waves, came too late (12 s, caller gone) and made 99 short answers pause in one run.

--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -34,7 +34,7 @@
 	// busyCost is the loss that an engine-second stands for when all engines
 	// are busy. It keeps prompts that would be late anyway from taking the
 	// engines from those that would not.
-	busyCost = 0.7
+	busyCost = 1.5
 	// sparePlaces is the number of places kept free at an engine, since another
 	// entry VM may be taking one at the same moment.
 	sparePlaces = 1
@@ -49,6 +49,9 @@
 	// retryLeast and retryMost bound the time after which a caller is asked to
 	// come again.
 	retryLeast, retryMost = 100 * time.Millisecond, 5 * time.Second
+	// retryBusy is the same for one that could be served, but only late and at
+	// the cost of others: not before engines have had time to become free.
+	retryBusy = 4 * time.Second
 )
 
 // Request is a prompt to be placed.
@@ -170,11 +173,19 @@
 	}
 	if best.Lead < 0 || best.Loss >= lostShare*worth {
 		best.Lost = true
-		best.Retry = min(max(ch.soonest(best).Sub(ch.rq.GiveUp), retryLeast), retryMost)
+		best.Retry = ch.retry(best)
 	}
 	return best
 }
 
+// retry returns when the caller of a prompt that is lost should come again.
+func (ch *chooser) retry(best Choice) time.Duration {
+	if best.Lead >= 0 && best.First.Before(ch.rq.GiveUp) {
+		return retryBusy
+	}
+	return min(max(ch.soonest(best).Sub(ch.rq.GiveUp), retryLeast), retryMost)
+}
+
 // soonest returns when a prompt that is lost now could have its first event: as
 // predicted, or when the first engine is free of what it reads.
 func (ch *chooser) soonest(best Choice) time.Time {
