fix: what waits to be read at an engine will pause too

Also: an engine counts as having work of a kind only with the same objective for pauses. Test: placer/testdata/long, fails without the change. Ruled out: a pass of more prompt tokens than the figures say (first events come as predicted).

--- a/internal/decision/placer/group.go
+++ b/internal/decision/placer/group.go
@@ -167,7 +167,7 @@
 	if !ch.beside(&st.engine) {
 		base += freshCost
 	}
-	op.cost = base + ch.pauses(st, part, &op.clear) + ch.delays(st, part, parts)
+	op.cost = base + ch.pauses(st, part, parts, &op.clear) + ch.delays(st, part, parts)
 	op.after = base
 	return op
 }
@@ -190,16 +190,16 @@
 	return end
 }
 
-// beside tells whether the engine already has work with a pause objective as
-// short as this prompt's, so that nothing is lost by adding more of it.
+// beside tells whether the engine already has work with the same objective for
+// pauses, so that nothing is lost by adding more of it.
 func (ch *chooser) beside(en *forecaster.Engine) bool {
 	for _, fl := range en.Writers {
-		if fl.Gap <= ch.rq.Gap {
+		if fl.Gap == ch.rq.Gap {
 			return true
 		}
 	}
 	for _, re := range en.Readers {
-		if !re.Flight.Helper && re.Flight.Gap <= ch.rq.Gap {
+		if !re.Flight.Helper && re.Flight.Gap == ch.rq.Gap {
 			return true
 		}
 	}
@@ -208,32 +208,43 @@
 
 // pauses returns the loss of those whose answers pause longer because a part
 // is read beside them. It puts off clear until they have ended.
-func (ch *chooser) pauses(st *state, part time.Duration, clear *time.Time) float64 {
+func (ch *chooser) pauses(st *state, part time.Duration, parts int, clear *time.Time) float64 {
 	en := &st.engine
-	if len(en.Writers) == 0 {
-		return 0
-	}
-	pass := forecaster.Pass(ch.rq.Figures, len(en.Writers), en.Context)
+	pass := forecaster.Pass(ch.rq.Figures, max(len(en.Writers), 1), en.Context)
 	most := forecaster.MostRead(ch.rq.Figures, ch.rq.Prompt, forecaster.Reading(ch.rq.Figures, ch.rq.Prompt, 1))
 	without := pass + min(en.Backlog(ch.now), most)
 	with := pass + min(en.Backlog(ch.now)+part, max(most, without-pass))
 	loss := 0.0
-	for _, fl := range en.Writers {
-		if fl.Gap <= 0 {
-			continue
-		}
-		worse := over(with, fl.Gap) - over(without, fl.Gap)
-		if worse <= 0 {
-			continue
-		}
-		loss += lateLoss * fl.Worth * worse
-		if end := fl.Began.Add(fl.Writing); end.After(*clear) {
-			*clear = end
+	for i := range en.Writers {
+		loss += ch.pause(&en.Writers[i], en.Writers[i].Began, with, without, clear)
+	}
+	if parts > 1 {
+		return loss // the part is read before the prompts that wait
+	}
+	for i := range en.Readers {
+		if re := &en.Readers[i]; !re.Flight.Helper {
+			loss += ch.pause(&re.Flight, re.Done, pass+min(part, most), pass, clear)
 		}
 	}
 	return loss
 }
 
+// pause returns the loss of one answer, which begins at began, when its longest
+// pause becomes with instead of without.
+func (ch *chooser) pause(fl *ml.Flight, began time.Time, with, without time.Duration, clear *time.Time) float64 {
+	if fl.Gap <= 0 {
+		return 0
+	}
+	worse := over(with, fl.Gap) - over(without, fl.Gap)
+	if worse <= 0 {
+		return 0
+	}
+	if end := began.Add(fl.Writing); end.After(*clear) {
+		*clear = end
+	}
+	return lateLoss * fl.Worth * worse
+}
+
 // over returns how likely a pause is to miss its objective.
 func over(pause, gap time.Duration) float64 {
 	return ramp(float64(pause)/float64(gap), likely, unlikely)
