fix: a request of another entry VM holds a place for 30 ms at most

Cause: a waiting request of a peer that the peer itself did not place (it sees engines differently, or has just been killed) was placed in thought at each look and kept ours waiting (TestPeerThatDoesNotPlace: never sent; now within 30 ms).

--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -71,10 +71,11 @@
 	RetryPerCent float64
 	RetryBurst   float64
 
-	queue   queue
-	flights atomic.Int64 // numbers flights
-	mu      sync.Mutex
-	budgets map[ml.ServiceName]*budgeter.Budgeter
+	queue     queue
+	placeable map[ml.FlightID]time.Time // requests of other entry VMs, since when they could be placed; used by Run only
+	flights   atomic.Int64              // numbers flights
+	mu        sync.Mutex
+	budgets   map[ml.ServiceName]*budgeter.Budgeter
 }
 
 // Meter counts what becomes of requests.
--- a/internal/duty/forwarder/queue.go
+++ b/internal/duty/forwarder/queue.go
@@ -19,6 +19,8 @@
 	maxQueue = 512
 	// lookAgain is the longest time between two looks at waiting requests.
 	lookAgain = 20 * time.Millisecond
+	// believePeer is how long a place is left to a request of another entry VM.
+	believePeer = 30 * time.Millisecond
 	// writeMargin is how much longer than predicted an answer may take before
 	// its deadline.
 	writeMargin = 1.5
@@ -214,7 +216,9 @@
 
 // look decides on each waiting request in turn. The requests that wait at other
 // entry VMs have their turn too, so that when a place becomes free not all
-// entry VMs take it: theirs are placed in thought only.
+// entry VMs take it: theirs are placed in thought only. One that its own entry
+// VM still has not placed after a while is passed over: that one sees it
+// differently, or is gone.
 func (fo *Forwarder) look(now time.Time) {
 	items := fo.queue.all()
 	if len(items) == 0 {
@@ -223,10 +227,21 @@
 	items = append(items, fo.peersItems(now, items[0].rq)...)
 	sortItems(items, now)
 	flights := fo.Tracker.Flights(now)
+	placeable := make(map[ml.FlightID]time.Time)
 	for _, it := range items {
+		since, known := fo.placeable[it.id]
+		if known && now.Sub(since) > believePeer {
+			placeable[it.id] = since
+			continue
+		}
 		listings := fo.Catalog.Usable(now, it.service)
 		ou, decided := fo.decide(now, it, listings, flights)
 		switch {
+		case it.rq == nil && decided:
+			placeable[it.id] = now
+			if known {
+				placeable[it.id] = since
+			}
 		case it.rq == nil:
 		case decided:
 			fo.queue.remove(it)
@@ -238,6 +253,7 @@
 			fo.Told()
 		}
 	}
+	fo.placeable = placeable
 }
 
 // peersItems returns the requests that wait at other entry VMs for the service
--- a/internal/duty/forwarder/queue_test.go
+++ b/internal/duty/forwarder/queue_test.go
@@ -91,6 +91,27 @@
 	g.Consistently(sent.Load, "300ms", "5ms").Should(gomega.Equal(int64(1)))
 }
 
+// TestPeerThatDoesNotPlace checks that a request of an entry VM which does not
+// place it, though it goes first, holds up ours only for a moment.
+func TestPeerThatDoesNotPlace(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	sent := &atomic.Int64{}
+	fo := newForwarder(ctx, "vm", sent)
+	const places = 2 // one is kept free
+	stuck := ml.SharedWaiting{ID: "stuck", Service: "lm", Prompt: 1000, Answer: 100, FirstMs: 20_000, GiveUpMs: 40_000, GapMs: 1000, Worth: 1, Order: 1}
+	go func() {
+		for ctx.Err() == nil {
+			fo.Tracker.Learn(time.Now(), ml.Shared{From: "other", Whole: true, Waiting: []ml.SharedWaiting{stuck}})
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	g.Eventually(func() int { return len(fo.Tracker.PeersWaiting(time.Now())) }, "1s", "1ms").Should(gomega.Equal(1))
+	go fo.Forward(ctx, request(places), noAnswer{})
+	g.Eventually(sent.Load, "500ms", "2ms").Should(gomega.Equal(int64(1)))
+}
+
 func newForwarder(ctx context.Context, self ml.VMID, sent *atomic.Int64) *Forwarder {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	fo := &Forwarder{
