--- a/exchange.go
+++ b/exchange.go
@@ -107,6 +107,7 @@
 	FirstMs   int64      `json:"f"` // until the objective for the first event
 	GapMs     int64      `json:"g"`
 	Worth     float64    `json:"v"`
+	Part      bool       `json:"k,omitempty"`
 	Helper    bool       `json:"h,omitempty"`
 }
 
--- a/internal/decision/forecaster/forecaster.go
+++ b/internal/decision/forecaster/forecaster.go
@@ -71,8 +71,7 @@
 // Engine is the predicted state of an engine at one moment.
 type Engine struct {
 	Free    time.Time // when all prompts that it has are read
-	Parts   time.Time // when the parts of prompts that it reads for others are
-	Readers []Reader  // in the order in which they are read
+	Readers []Reader  // in the order in which they are going to be read
 	Writers []ml.Flight
 	Memory  ml.Tokens
 	Context ml.Tokens // of the sequences that are being generated
@@ -90,65 +89,78 @@
 	return n
 }
 
-// At returns the state of an engine at now, given its flights.
+// Backlog returns the reading that the engine has before it at now.
+func (en *Engine) Backlog(now time.Time) time.Duration { return en.Free.Sub(now) }
+
+// work is a flight with the reading that is left of it.
+type work struct {
+	flight *ml.Flight
+	left   time.Duration
+}
+
+// At returns the state of an engine at now, given its flights. An engine reads
+// whole prompts one after the other; a part of a prompt that several engines
+// read goes ahead of all that it has.
 func At(now time.Time, flights []ml.Flight) Engine {
-	en := Engine{Free: now, Parts: now}
-	began := time.Time{}
-	for _, fl := range flights {
+	en := Engine{}
+	all := make([]work, len(flights))
+	for i := range flights {
+		fl := &flights[i]
+		all[i] = work{fl, fl.Reading}
 		en.Memory += fl.Memory
-		if fl.Began.IsZero() {
-			en.Readers = append(en.Readers, Reader{Flight: fl})
-			continue
+		if !fl.Began.IsZero() {
+			en.Writers = append(en.Writers, *fl)
+			en.Context += fl.Memory
 		}
-		if fl.Began.After(began) {
-			began = fl.Began
-		}
-		en.Writers = append(en.Writers, fl)
-		en.Context += fl.Memory
 	}
-	slices.SortFunc(en.Readers, func(a, b Reader) int {
-		return cmp.Or(after(a.Flight.Helper)-after(b.Flight.Helper), a.Flight.Sent.Compare(b.Flight.Sent), cmp.Compare(a.Flight.ID, b.Flight.ID))
+	slices.SortFunc(all, func(a, b work) int {
+		return cmp.Or(a.flight.Sent.Compare(b.flight.Sent), cmp.Compare(a.flight.ID, b.flight.ID))
 	})
-	en.chain(now, began)
-	return en
-}
-
-// after orders parts that are read for others before whole prompts.
-func after(helper bool) int {
-	if helper {
-		return 0
+	queue := readUntil(now, all)
+	end := now
+	for _, wo := range queue {
+		if wo.flight.Began.IsZero() {
+			end = end.Add(wo.left)
+			en.Readers = append(en.Readers, Reader{Flight: *wo.flight, Done: end})
+		}
 	}
-	return 1
+	en.Free = end
+	return en
 }
 
-// chain predicts when each prompt is read: one after the other.
-func (en *Engine) chain(now, began time.Time) {
-	end := time.Time{}
-	for i := range en.Readers {
-		fl := &en.Readers[i].Flight
-		start := later(fl.Sent, end)
-		if i == 0 && began.After(start) && began.Sub(start) < fl.Reading {
-			start = began
+// readUntil returns what is left at now of work that came in the given order,
+// in the order in which it is going to be read.
+func readUntil(now time.Time, all []work) []*work {
+	queue := []*work{}
+	for i := range all {
+		queue = insert(queue, &all[i])
+		next := now
+		if i+1 < len(all) {
+			next = all[i+1].flight.Sent
 		}
-		end = start.Add(fl.Reading)
-		if end.Before(now) {
-			left := time.Duration(overdueShare * float64(fl.Reading))
-			end = now.Add(min(left, overdueMax))
-		}
-		en.Readers[i].Done = end
-		if fl.Helper {
-			en.Parts = later(now, end)
+		spend(queue, next.Sub(all[i].flight.Sent))
+	}
+	for _, wo := range queue {
+		if wo.left <= 0 { // should have been read by now
+			wo.left = min(time.Duration(overdueShare*float64(wo.flight.Reading)), overdueMax)
 		}
 	}
-	en.Free = later(now, end)
+	return queue
 }
 
-// Backlog returns the reading that the engine has before it at now.
-func (en *Engine) Backlog(now time.Time) time.Duration { return en.Free.Sub(now) }
+// insert puts new work where the engine reads it.
+func insert(queue []*work, wo *work) []*work {
+	if wo.flight.Part {
+		return slices.Insert(queue, 0, wo)
+	}
+	return append(queue, wo)
+}
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+// spend takes engine time off the work, in order.
+func spend(queue []*work, d time.Duration) {
+	for _, wo := range queue {
+		part := min(max(d, 0), wo.left)
+		wo.left -= part
+		d -= part
 	}
-	return b
 }
--- a/internal/decision/placer/group.go
+++ b/internal/decision/placer/group.go
@@ -45,19 +45,13 @@
 	ch.keep(open[:parts], part, ch.now, best, func(op option) float64 { return op.cost })
 }
 
-// read returns when the last part of a group that begins at start is read. The
-// engine that leads reads its part after what it has already, the others
-// before.
-func read(members []option, lead int, start time.Time, part time.Duration) time.Time {
-	end := start
-	for i, op := range members {
-		free := op.st.engine.Parts
-		if i == lead {
-			free = op.st.engine.Free
-		}
-		end = later(end, later(start, free).Add(part))
+// read returns when a prompt is read that begins at start: a whole one after
+// what the engine has already, parts of it before that.
+func read(members []option, start time.Time, part time.Duration) time.Time {
+	if len(members) == 1 {
+		start = later(start, members[0].st.engine.Free)
 	}
-	return end
+	return start.Add(part)
 }
 
 // tryLater weighs a group that begins as soon as its members are clear of what
@@ -80,7 +74,7 @@
 	if lead < 0 {
 		return
 	}
-	first := read(members, lead, start, part).Add(ch.firstPass(&members[lead].st.engine))
+	first := read(members, start, part).Add(ch.firstPass(&members[lead].st.engine))
 	loss := ch.selfLoss(first) + ch.waitLoss(start) + partCost*float64(len(members)-1) + ch.price*part.Seconds()*float64(len(members))
 	for _, op := range members {
 		loss += cost(op)
--- a/serving.go
+++ b/serving.go
@@ -132,7 +132,8 @@
 	FirstBy  time.Time     // objective for the first event
 	Gap      time.Duration // objective for the pause between events
 	Worth    float64       // what the answer is worth to its caller
-	Helper   bool          // reads a part of a prompt whose answer another engine gives
+	Part     bool          // a part of a prompt that several engines read
+	Helper   bool          // such a part, of an answer that another engine gives
 	Last     time.Time     // when the last event came
 }
 
