tune: what would hardly be in time is refused, engine time costs 0.5

A first event that must come before the caller leaves has to be predicted 1.4 times sooner, since later groups delay it (700,000 tokens, predicted in 8.4 s, had none after 12 s and had taken 49 engine-seconds). A prompt's delay counts by when its caller leaves too.

--- a/internal/decision/placer/group.go
+++ b/internal/decision/placer/group.go
@@ -253,14 +253,23 @@
 	}
 	loss := 0.0
 	for _, re := range st.engine.Readers {
-		off := float64(max(time.Duration(slackShare*float64(re.Done.Sub(ch.now))), slackLeast))
-		pass := forecaster.Pass(ch.rq.Figures, 1, re.Flight.Memory)
-		slack := re.Done.Add(pass).Sub(re.Flight.FirstBy)
-		loss += lateLoss * re.Flight.Worth * (ramp(float64(slack+by), -off, off) - ramp(float64(slack), -off, off))
+		first := re.Done.Add(forecaster.Pass(ch.rq.Figures, 1, re.Flight.Memory))
+		loss += lateLoss * re.Flight.Worth * ch.miss(first, by, re.Flight.FirstBy)
+		if !re.Flight.GiveUp.IsZero() {
+			loss += (1 - lateLoss) * re.Flight.Worth * ch.miss(first, by, re.Flight.GiveUp)
+		}
 	}
 	return loss
 }
 
+// miss returns how much more likely a first event is to miss a time when it
+// comes later.
+func (ch *chooser) miss(first time.Time, by time.Duration, at time.Time) float64 {
+	off := float64(max(time.Duration(slackShare*float64(first.Sub(ch.now))), slackLeast))
+	slack := float64(first.Sub(at))
+	return ramp(slack+float64(by), -off, off) - ramp(slack, -off, off)
+}
+
 // Worth returns what an answer is worth to its caller: it grows with the work
 // that the caller has put in.
 func Worth(prompt ml.Tokens) float64 {
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -34,18 +34,21 @@
 	// busyCost is the loss that an engine-second stands for when all engines
 	// are busy. It keeps prompts that would be late anyway from taking the
 	// engines from those that would not.
-	busyCost = 1.5
+	busyCost = 0.5
 	// sparePlaces is the number of places kept free at an engine, since another
 	// entry VM may be taking one at the same moment.
 	sparePlaces = 1
 	// lostShare is the share of its worth from which a prompt counts as lost.
-	lostShare = 0.97
+	lostShare = 0.9
 	// certain and likely bound the ratio of a pause to its objective between
 	// which keeping the objective turns from certain to unlikely.
 	likely, unlikely = 0.8, 1.15
 	// slackShare and slackLeast tell how far a prediction may be off.
 	slackShare = 0.15
 	slackLeast = 15 * time.Millisecond
+	// lostFactor is how much longer than predicted a first event may take that
+	// must come before the caller leaves: what comes later delays it.
+	lostFactor = 1.4
 	// retryLeast and retryMost bound the time after which a caller is asked to
 	// come again.
 	retryLeast, retryMost = 100 * time.Millisecond, 5 * time.Second
@@ -205,7 +208,8 @@
 func (ch *chooser) selfLoss(first time.Time) float64 {
 	off := max(time.Duration(slackShare*float64(first.Sub(ch.now))), slackLeast)
 	late := ramp(float64(first.Sub(ch.rq.FirstBy)), -float64(off), float64(off))
-	lost := ramp(float64(first.Sub(ch.rq.GiveUp)), -float64(off), float64(off))
+	longest := ch.now.Add(time.Duration(lostFactor * float64(first.Sub(ch.now))))
+	lost := ramp(float64(longest.Sub(ch.rq.GiveUp)), -float64(off), float64(off))
 	return ch.rq.Worth * (lateLoss*late + (1-lateLoss)*lost)
 }
 
--- a/serving.go
+++ b/serving.go
@@ -130,6 +130,7 @@
 	Writing  time.Duration // engine time for the answer, estimated
 	Memory   Tokens        // at this endpoint
 	FirstBy  time.Time     // objective for the first event
+	GiveUp   time.Time     // the caller waits no longer for it; zero when not known
 	Gap      time.Duration // objective for the pause between events
 	Worth    float64       // what the answer is worth to its caller
 	Part     bool          // a part of a prompt that several engines read
