--- a/internal/adapter/exchanger/conn.go
+++ b/internal/adapter/exchanger/conn.go
@@ -36,7 +36,6 @@
 	net.Conn
 	in      *bufio.Reader
 	written atomic.Int64 // bytes of the request under way
-	used    bool         // has carried a request before
 	expires time.Time    // when the endpoint may close it
 }
 
--- a/internal/adapter/exchanger/exchanger.go
+++ b/internal/adapter/exchanger/exchanger.go
@@ -41,14 +41,12 @@
 	Header http.Header
 	Body   []byte
 	Match  func(http.Header) bool // tells whether an answer is the one to this request
-	Fresh  bool                   // must not go over a connection that was used before
 }
 
 // Exchanger keeps the connections. The zero value is ready.
 type Exchanger struct {
 	mu   sync.Mutex
 	idle map[Target][]*conn
-	open map[Target]int
 
 	// Opened is called for each new connection; nil for nothing.
 	Opened func()
@@ -65,7 +63,7 @@
 	if err != nil {
 		return nil, ex.failed(ta, true, err)
 	}
-	co, err := ex.take(ctx, ta, rq.Fresh)
+	co, err := ex.take(ctx, ta)
 	if err != nil {
 		return nil, ex.failed(ta, true, err)
 	}
@@ -75,7 +73,7 @@
 	rs, err := co.readAnswer(hr, rq.Match) //nolint:bodyclose // ends with the connection or the answer's Close
 	if err != nil {
 		stop()
-		ex.drop(ta, co)
+		ex.drop(co)
 		err = cmpErr(ctx.Err(), <-wrote, err)
 		return nil, ex.failed(ta, co.written.Load() == 0, err)
 	}
@@ -103,7 +101,7 @@
 					ex.put(ta, co, keepFor(rs.Header))
 					return
 				}
-				ex.drop(ta, co)
+				ex.drop(co)
 			})
 		},
 	}
@@ -120,18 +118,14 @@
 }
 
 // take returns a kept connection that is still usable, or a new one.
-func (ex *Exchanger) take(ctx context.Context, ta Target, fresh bool) (*conn, error) {
-	for !fresh {
-		co := ex.pop(ta)
-		if co == nil {
-			break
-		}
+func (ex *Exchanger) take(ctx context.Context, ta Target) (*conn, error) {
+	for co := ex.pop(ta); co != nil; co = ex.pop(ta) {
 		if time.Now().Before(co.expires) && co.idle() {
 			co.written.Store(0)
 			_ = co.SetDeadline(time.Time{})
 			return co, nil
 		}
-		ex.drop(ta, co)
+		ex.drop(co)
 	}
 	nc, err := dialer.New(dialTimeout).DialContext(ctx, "tcp", ta.Address)
 	if err != nil {
@@ -140,7 +134,6 @@
 	if ex.Opened != nil {
 		ex.Opened()
 	}
-	ex.count(ta, 1)
 	return newConn(nc), nil
 }
 
@@ -157,12 +150,11 @@
 }
 
 func (ex *Exchanger) put(ta Target, co *conn, keep time.Duration) {
-	co.used = true
 	co.expires = time.Now().Add(keep)
 	ex.mu.Lock()
 	if keep <= 0 || len(ex.idle[ta]) >= maxIdle || co.in.Buffered() > 0 {
 		ex.mu.Unlock()
-		ex.drop(ta, co)
+		ex.drop(co)
 		return
 	}
 	if ex.idle == nil {
@@ -172,37 +164,22 @@
 	ex.mu.Unlock()
 }
 
-func (ex *Exchanger) drop(ta Target, co *conn) {
-	_ = co.Close()
-	ex.count(ta, -1)
-}
-
-func (ex *Exchanger) count(ta Target, by int) {
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	if ex.open == nil {
-		ex.open = make(map[Target]int)
-	}
-	ex.open[ta] += by
-	if ex.open[ta] == 0 {
-		delete(ex.open, ta)
-	}
-}
+// drop closes a connection. That it may have been closed already is of no
+// interest.
+func (ex *Exchanger) drop(co *conn) { _ = co.Close() }
 
 // Sweep closes idle connections that have expired, and all to targets that
 // are not wanted any more.
 func (ex *Exchanger) Sweep(now time.Time, wanted func(Target) bool) {
-	for ta, co := range ex.expired(now, wanted) {
-		for _, co := range co {
-			ex.drop(ta, co)
-		}
+	for _, co := range ex.expired(now, wanted) {
+		ex.drop(co)
 	}
 }
 
-func (ex *Exchanger) expired(now time.Time, wanted func(Target) bool) map[Target][]*conn {
+func (ex *Exchanger) expired(now time.Time, wanted func(Target) bool) []*conn {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
-	out := make(map[Target][]*conn)
+	out := []*conn{}
 	for ta, all := range ex.idle {
 		keep := all[:0]
 		for _, co := range all {
@@ -210,7 +187,7 @@
 				keep = append(keep, co)
 				continue
 			}
-			out[ta] = append(out[ta], co)
+			out = append(out, co)
 		}
 		ex.idle[ta] = keep
 		if len(keep) == 0 {
--- a/internal/command/explainer/explainer.go
+++ b/internal/command/explainer/explainer.go
@@ -75,10 +75,10 @@
 		if err := json.Unmarshal([]byte(sc.Text()[at:]), &ln); err != nil && !errors.As(err, &wrong) {
 			continue // not a line of ours
 		}
-		switch {
-		case ln.Request == ex.Request:
+		switch ln.Request {
+		case ex.Request:
 			ex.own = append(ex.own, ln)
-		case ln.Request == "":
+		case "":
 			ex.others = append(ex.others, ln)
 		}
 	}
--- /dev/null
+++ b/internal/duty/forwarder/place.go
@@ -0,0 +1,260 @@
+package forwarder
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/forecaster"
+	"github.com/mulberrylever/mulberrylever/internal/decision/placer"
+	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
+)
+
+const (
+	// lookAgain is the longest time between two looks at waiting requests.
+	lookAgain = 20 * time.Millisecond
+	// believePeer is how long a place is left to a request of another entry VM.
+	believePeer = 30 * time.Millisecond
+	// writeMargin is how much longer than predicted an answer may take before
+	// its deadline.
+	writeMargin = 1.5
+	// holdShare is the part of its objective for which a request waits while
+	// no endpoint is known at all.
+	holdShare = 8
+)
+
+// lostError tells that a request can't be served in time.
+type lostError struct {
+	why   string
+	retry time.Duration
+}
+
+// Error implements the error interface.
+func (le *lostError) Error() string { return le.why }
+
+// placement is where a request goes.
+type placement struct {
+	lead      ml.ListedEndpoint
+	helpers   []ml.ListedEndpoint
+	flights   []ml.FlightID // the lead's first
+	waited    time.Duration
+	predicted time.Duration // until the first event
+	loss      float64
+	worth     float64
+	seen      int
+	share     ml.Tokens // memory needed at each helper; 0 when the lead holds all
+	tickets   []ticket
+
+	stopTickets context.CancelFunc
+}
+
+// place finds an endpoint for a request, and waits until it should be sent.
+func (fo *Forwarder) place(ctx context.Context, rq *Request) (*placement, error) {
+	if rq.Route.Kind != ml.RouteStream || rq.Spec == nil || rq.Spec.Engine == nil {
+		return fo.placeService(ctx, rq)
+	}
+	now := time.Now()
+	result := make(chan outcome, 1)
+	ask := placer.Request{
+		Figures: rq.Spec.Engine, Prompt: rq.Prompt, Answer: rq.Answer, FirstBy: rq.FirstBy, GiveUp: rq.GiveUp,
+		Gap: rq.Route.GapTarget, Worth: placer.Worth(rq.Prompt), Domain: fo.Domain,
+	}
+	if rq.begun {
+		ask.FirstBy, ask.GiveUp = now.Add(rq.Route.GapTarget), rq.Deadline
+	}
+	writing := time.Duration(writeMargin * float64(forecaster.Writing(ask.Figures, ask.Prompt, ask.Answer)))
+	if last := rq.Deadline.Add(-writing); last.Before(ask.GiveUp) {
+		ask.GiveUp = last
+	}
+	it := &item{
+		id: fo.flightID(), rq: rq, service: rq.Service, ask: ask, since: now, result: result,
+		urgency: ask.FirstBy.Add(-forecaster.Reading(ask.Figures, ask.Prompt, 1)),
+	}
+	it.order = fo.Began.UnixMilli() + it.urgency.Sub(fo.Began).Milliseconds() // no jump of the time of day changes it
+	if !fo.queue.add(it) {
+		return nil, &lostError{why: "too many requests wait", retry: defaultRetry}
+	}
+	fo.Wake()
+	select {
+	case ou := <-result:
+		return ou.placement, ou.err
+	case <-ctx.Done():
+		fo.queue.remove(it)
+		fo.Tracker.Placed(it.id)
+		select {
+		case ou := <-result: // placed at the same moment
+			if ou.placement != nil {
+				fo.leave(ou.placement)
+			}
+		default:
+		}
+		return nil, context.Cause(ctx)
+	}
+}
+
+// leave ends the flights of a placement.
+func (fo *Forwarder) leave(pl *placement) {
+	for _, id := range pl.flights {
+		fo.Tracker.End(id)
+	}
+}
+
+// Run looks at the waiting requests whenever something has changed.
+func (fo *Forwarder) Run(ctx context.Context) error {
+	signal := fo.queue.channel()
+	ti := time.NewTimer(lookAgain)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-signal:
+		case <-ti.C:
+		}
+		now := time.Now()
+		fo.look(now)
+		if fo.Waiting() > 0 {
+			ti.Reset(lookAgain)
+		}
+	}
+}
+
+// look decides on each waiting request in turn. The requests that wait at other
+// entry VMs have their turn too, so that when a place becomes free not all
+// entry VMs take it: theirs are placed in thought only. One that its own entry
+// VM still has not placed after a while is passed over: that one sees it
+// differently, or is gone.
+func (fo *Forwarder) look(now time.Time) {
+	items := fo.queue.all()
+	if len(items) == 0 {
+		return
+	}
+	items = append(items, fo.peersItems(now, items[0].rq)...)
+	sortItems(items, now)
+	flights := fo.Tracker.Flights(now)
+	placeable := make(map[ml.FlightID]time.Time)
+	for _, it := range items {
+		since, known := fo.placeable[it.id]
+		if known && now.Sub(since) > believePeer {
+			placeable[it.id] = since
+			continue
+		}
+		listings := fo.Catalog.Usable(now, it.service)
+		ou, decided := fo.decide(now, it, listings, flights)
+		switch {
+		case it.rq == nil && decided:
+			placeable[it.id] = now
+			if known {
+				placeable[it.id] = since
+			}
+		case it.rq == nil:
+		case decided:
+			fo.queue.remove(it)
+			fo.Tracker.Placed(it.id)
+			it.result <- ou
+		case !it.told:
+			it.told = true
+			fo.Tracker.Wait(now, it.waiting())
+			fo.Told()
+		}
+	}
+	fo.placeable = placeable
+}
+
+// peersItems returns the requests that wait at other entry VMs for the service
+// of a request of our own.
+func (fo *Forwarder) peersItems(now time.Time, rq *Request) []*item {
+	out := []*item{}
+	for _, wa := range fo.Tracker.PeersWaiting(now) {
+		if wa.Service != rq.Service {
+			continue
+		}
+		ask := placer.Request{
+			Figures: rq.Spec.Engine, Prompt: wa.Prompt, Answer: wa.Answer, FirstBy: wa.FirstBy, GiveUp: wa.GiveUp, Gap: wa.Gap, Worth: wa.Worth,
+		}
+		out = append(out, &item{
+			id: wa.ID, service: wa.Service, ask: ask, since: now, order: wa.Order, urgency: wa.FirstBy.Add(-forecaster.Reading(ask.Figures, ask.Prompt, 1)),
+		})
+	}
+	return out
+}
+
+// waiting returns the item as it is told to other entry VMs.
+func (it *item) waiting() ml.Waiting {
+	return ml.Waiting{
+		ID: it.id, Service: it.service, Prompt: it.ask.Prompt, Answer: it.ask.Answer, FirstBy: it.ask.FirstBy, GiveUp: it.ask.GiveUp,
+		Gap: it.ask.Gap, Worth: it.ask.Worth, Order: it.order,
+	}
+}
+
+// decide places one waiting request, refuses it, or leaves it waiting.
+func (fo *Forwarder) decide(now time.Time, it *item, listings []cataloger.Listing, flights map[ml.EndpointID][]ml.Flight) (outcome, bool) {
+	candidates := make([]placer.Candidate, 0, len(listings))
+	for _, li := range listings {
+		ca := fo.candidate(now, li, flights[li.ID])
+		ca.Closed = ca.Closed || it.rq != nil && (fo.full(now, it.rq, li) || slices.Contains(it.rq.seen, li.ID))
+		candidates = append(candidates, ca)
+	}
+	ch := placer.Choose(now, &it.ask, candidates)
+	switch {
+	case it.rq == nil && ch.Lost:
+		return outcome{}, false
+	case ch.Lost && ch.Seen == 0 && now.Sub(it.since) < it.rq.Route.Target/holdShare:
+		return outcome{}, false
+	case ch.Lost:
+		return outcome{err: &lostError{why: "no engine can answer in time", retry: ch.Retry}}, true
+	case ch.Wait:
+		return outcome{}, false
+	}
+	pl := &placement{
+		lead: candidates[ch.Lead].Endpoint, waited: now.Sub(it.since), predicted: ch.First.Sub(now),
+		loss: ch.Loss, worth: it.ask.Worth, seen: ch.Seen,
+	}
+	pl.share = ch.Share
+	for _, at := range ch.Helpers {
+		pl.helpers = append(pl.helpers, candidates[at].Endpoint)
+	}
+	fo.take(now, it, pl, flights)
+	return outcome{placement: pl}, true
+}
+
+// candidate tells what is known of an endpoint that may take a request.
+func (fo *Forwarder) candidate(now time.Time, li cataloger.Listing, flights []ml.Flight) placer.Candidate {
+	ca := placer.Candidate{
+		Endpoint: li.ListedEndpoint, Flights: flights,
+		Failing: fo.Detector.Failing(now, li.ID, li.Incarnation),
+	}
+	ca.Closed = fo.Detector.Closed(now, li.ID, li.Incarnation, len(flights))
+	return ca
+}
+
+// full tells whether an endpoint that may be cold has had what it can carry.
+func (fo *Forwarder) full(now time.Time, rq *Request, li cataloger.Listing) bool {
+	return rq.Spec != nil && rq.Spec.ColdRate > 0 && float64(fo.Tracker.Recent(now, li.ID)) >= rq.Spec.ColdRate
+}
+
+// take records the flights of a placement.
+func (fo *Forwarder) take(now time.Time, it *item, pl *placement, flights map[ml.EndpointID][]ml.Flight) {
+	fi := it.ask.Figures
+	parts := 1 + len(pl.helpers)
+	base := ml.Flight{
+		Sent: now, Reading: forecaster.Reading(fi, it.ask.Prompt, parts), Writing: forecaster.Writing(fi, it.ask.Prompt, it.ask.Answer),
+		FirstBy: it.ask.FirstBy, GiveUp: it.ask.GiveUp, Gap: it.ask.Gap, Worth: it.ask.Worth,
+	}
+	for i, ep := range append([]ml.ListedEndpoint{pl.lead}, pl.helpers...) {
+		fl := base
+		fl.ID, fl.Endpoint, fl.Part, fl.Helper = fo.flightID(), ep.ID, parts > 1, i > 0
+		fl.Memory = pl.share
+		if i == 0 {
+			fl.Memory = it.ask.Prompt + it.ask.Answer - pl.share*ml.Tokens(len(pl.helpers))
+		}
+		pl.flights = append(pl.flights, fl.ID)
+		flights[ep.ID] = append(flights[ep.ID], fl)
+		if it.rq == nil {
+			continue
+		}
+		fo.Tracker.Add(now, fl)
+		fo.Detector.Tried(now, ep.ID, ep.Incarnation)
+	}
+}
--- a/internal/duty/sharer/sharer.go
+++ b/internal/duty/sharer/sharer.go
@@ -13,6 +13,7 @@
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/decision/detector"
+	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
 	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
 )
@@ -91,7 +92,7 @@
 		case <-ti.C:
 			ti.Reset(sh.tellWhole(ctx, time.Now()))
 		case <-sh.signal:
-			sleep(ctx, gather)
+			pacer.Sleep(ctx, gather)
 			sh.tellChanges()
 		}
 	}
@@ -115,13 +116,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // Add makes an address known, as from the platform's store.
 func (sh *Sharer) Add(ctx context.Context, address string) { sh.add(ctx, time.Now(), address) }
 
@@ -225,7 +219,7 @@
 	cancel()
 	sh.reached(me, err)
 	if err != nil {
-		sleep(ctx, retryLost)
+		pacer.Sleep(ctx, retryLost)
 		return
 	}
 	sh.catchUp(ctx, me.address, ack.Heads)
