--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -140,7 +140,7 @@
 func (fo *Forwarder) once(ctx context.Context, rq *Request, rs ml.Responder) end {
 	pl, err := fo.place(ctx, rq)
 	if err != nil {
-		return end{notRun: true, reason: "no place", err: err}
+		return end{notRun: true, reason: err.Error(), err: err}
 	}
 	defer fo.leave(pl)
 	if !fo.Catalog.Serves(time.Now(), pl.lead.ID, pl.lead.Incarnation) {
@@ -204,13 +204,13 @@
 
 // finish gives the caller the final answer after the last attempt.
 func (fo *Forwarder) finish(ctx context.Context, rq *Request, rs ml.Responder, en end) string {
-	if rq.begun {
-		rs.Abort()
-		return "broken off: " + en.reason
-	}
-	if errors.Is(context.Cause(ctx), context.Canceled) {
+	switch {
+	case errors.Is(context.Cause(ctx), context.Canceled):
 		rs.Abort()
 		return "caller left"
+	case rq.begun:
+		rs.Abort()
+		return "broken off: " + en.reason
 	}
 	if en.answer != nil {
 		return fo.passKept(rs, en.answer)
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -92,7 +92,7 @@
 		if err := fo.passEvent(rq, rs, an, ev); err != nil {
 			if errors.Is(err, errCallerLeft) {
 				rs.Abort()
-				return end{done: true, arrived: true, reason: err.Error()}
+				return end{done: true, arrived: true, reason: "caller left"}
 			}
 			return end{arrived: true, reason: "stream out of order", err: err}
 		}
