fix: a stream that broke off goes on wherever that is possible in time

Now it must come before the caller gives up on the pause. TestBrokenStreamGoesOn: lost without the change, placed with it.

--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -56,17 +56,7 @@
 	}
 	now := time.Now()
 	result := make(chan outcome, 1)
-	ask := placer.Request{
-		Figures: rq.Spec.Engine, Prompt: rq.Prompt, Answer: rq.Answer, FirstBy: rq.FirstBy, GiveUp: rq.GiveUp,
-		Gap: rq.Route.GapTarget, Worth: placer.Worth(rq.Prompt), Domain: fo.Domain,
-	}
-	if rq.begun {
-		ask.FirstBy, ask.GiveUp = now.Add(rq.Route.GapTarget), rq.Deadline
-	}
-	writing := time.Duration(writeMargin * float64(forecaster.Writing(ask.Figures, ask.Prompt, ask.Answer)))
-	if last := rq.Deadline.Add(-writing); last.Before(ask.GiveUp) {
-		ask.GiveUp = last
-	}
+	ask := rq.ask(fo.Domain)
 	it := &item{
 		id: fo.flightID(), rq: rq, service: rq.Service, ask: ask, since: now, result: result,
 		urgency: ask.FirstBy.Add(-forecaster.Reading(ask.Figures, ask.Prompt, 1)),
@@ -93,6 +83,29 @@
 	}
 }
 
+// ask returns what the placer has to know of a request. A stream that has begun
+// goes on in time when its next event comes before the caller gives up on the
+// pause.
+func (rq *Request) ask(domain ml.DomainID) placer.Request {
+	ask := placer.Request{
+		Figures: rq.Spec.Engine, Prompt: rq.Prompt, Answer: rq.Answer, FirstBy: rq.FirstBy, GiveUp: rq.GiveUp,
+		Gap: rq.Route.GapTarget, Worth: placer.Worth(rq.Prompt), Domain: domain,
+	}
+	if rq.begun {
+		next := rq.latest.Add(rq.GiveUp.Sub(rq.Arrived))
+		if next.After(rq.Deadline) {
+			next = rq.Deadline
+		}
+		ask.FirstBy, ask.GiveUp = next, next
+		return ask
+	}
+	writing := time.Duration(writeMargin * float64(forecaster.Writing(ask.Figures, ask.Prompt, ask.Answer)))
+	if last := rq.Deadline.Add(-writing); last.Before(ask.GiveUp) {
+		ask.GiveUp = last
+	}
+	return ask
+}
+
 // leave ends the flights of a placement.
 func (fo *Forwarder) leave(pl *placement) {
 	for _, id := range pl.flights {
--- a/internal/duty/forwarder/queue_test.go
+++ b/internal/duty/forwarder/queue_test.go
@@ -14,6 +14,7 @@
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/decision/detector"
+	"github.com/mulberrylever/mulberrylever/internal/decision/placer"
 	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
 	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
 )
@@ -112,6 +113,27 @@
 	g.Eventually(sent.Load, "500ms", "2ms").Should(gomega.Equal(int64(1)))
 }
 
+// TestBrokenStreamGoesOn checks that a stream which broke off is not late before
+// its caller gives up on the pause: else, with all engines busy, going on would
+// count as lost.
+func TestBrokenStreamGoesOn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	rq := request(16)
+	rq.Route.GapTarget = 250 * time.Millisecond
+	rq.Arrived, rq.FirstBy, rq.GiveUp, rq.Deadline = now.Add(-5*time.Second), now.Add(-4*time.Second), now.Add(-3*time.Second), now.Add(10*time.Second)
+	rq.begun, rq.latest = true, now.Add(-100*time.Millisecond)
+	busy := make([]placer.Candidate, 3)
+	for i := range busy {
+		part := ml.Flight{ID: "part", Sent: now, Reading: time.Second, Part: true, Helper: true, Worth: 5, GiveUp: now.Add(time.Second), FirstBy: now.Add(time.Second)}
+		busy[i].Flights = []ml.Flight{part}
+	}
+	ask := rq.ask("d")
+	ch := placer.Choose(now, &ask, busy)
+	g.Expect(ch.Lost).To(gomega.BeFalse())
+	g.Expect(ask.GiveUp).To(gomega.BeTemporally("==", rq.latest.Add(2*time.Second)))
+}
+
 func newForwarder(ctx context.Context, self ml.VMID, sent *atomic.Int64) *Forwarder {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	fo := &Forwarder{
