--- a/internal/adapter/exchanger/exchanger.go
+++ b/internal/adapter/exchanger/exchanger.go
@@ -22,6 +22,9 @@
 const (
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = 700 * time.Millisecond
+	// writeGrace is how long the end of a request's writing is waited for when
+	// its whole answer has come.
+	writeGrace = 20 * time.Millisecond
 	// maxIdle is the number of idle connections kept to one endpoint.
 	maxIdle = 24
 )
@@ -107,12 +110,15 @@
 	}
 }
 
-// sent tells whether the whole request has been written.
+// sent tells whether the whole request has been written, as it has been when an
+// endpoint answers after it has read it.
 func sent(wrote <-chan error) bool {
+	ti := time.NewTimer(writeGrace)
+	defer ti.Stop()
 	select {
 	case err := <-wrote:
 		return err == nil
-	default:
+	case <-ti.C:
 		return false
 	}
 }
