fix: a request that is withdrawn while it is being placed leaves no flight

Cause: the caller left between the look at the queue and the decision; the flight was recorded after the request had gone and never ended, so an engine kept a place taken for good. Found by reading; TestWithdrawn fails without the change. Now only one of the two takes the request out of the queue, and the other gives back.

--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -70,19 +70,36 @@
 	case ou := <-result:
 		return ou.placement, ou.err
 	case <-ctx.Done():
-		fo.queue.remove(it)
-		fo.Tracker.Placed(it.id)
-		select {
-		case ou := <-result: // placed at the same moment
-			if ou.placement != nil {
-				fo.leave(ou.placement)
-			}
-		default:
-		}
+		fo.withdraw(it, result)
 		return nil, context.Cause(ctx)
 	}
 }
 
+// withdraw ends the waiting of a request whose caller has left. It may have been
+// placed at the same moment.
+func (fo *Forwarder) withdraw(it *item, result <-chan outcome) {
+	if fo.queue.remove(it) {
+		fo.Tracker.Placed(it.id)
+		return
+	}
+	if ou := <-result; ou.placement != nil {
+		fo.leave(ou.placement)
+	}
+}
+
+// deliver gives a waiting request what was decided. One that has been withdrawn
+// meanwhile gives its place back.
+func (fo *Forwarder) deliver(it *item, ou outcome) {
+	if fo.queue.remove(it) {
+		fo.Tracker.Placed(it.id)
+		it.result <- ou
+		return
+	}
+	if ou.placement != nil {
+		fo.leave(ou.placement)
+	}
+}
+
 // ask returns what the placer has to know of a request. A stream that has begun
 // goes on in time when its next event comes before the caller gives up on the
 // pause.
@@ -163,9 +180,7 @@
 			}
 		case it.rq == nil:
 		case decided:
-			fo.queue.remove(it)
-			fo.Tracker.Placed(it.id)
-			it.result <- ou
+			fo.deliver(it, ou)
 		case !it.told:
 			it.told = true
 			fo.Tracker.Wait(now, it.waiting())
--- a/internal/duty/forwarder/queue.go
+++ b/internal/duty/forwarder/queue.go
@@ -65,12 +65,16 @@
 	return true
 }
 
-func (qu *queue) remove(it *item) {
+// remove takes a request out and tells whether it was still there.
+func (qu *queue) remove(it *item) bool {
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
-	if at := slices.Index(qu.items, it); at >= 0 {
-		qu.items = slices.Delete(qu.items, at, at+1)
+	at := slices.Index(qu.items, it)
+	if at < 0 {
+		return false
 	}
+	qu.items = slices.Delete(qu.items, at, at+1)
+	return true
 }
 
 // all returns the waiting requests.
--- a/internal/duty/forwarder/queue_test.go
+++ b/internal/duty/forwarder/queue_test.go
@@ -113,6 +113,30 @@
 	g.Eventually(sent.Load, "500ms", "2ms").Should(gomega.Equal(int64(1)))
 }
 
+// TestWithdrawn checks that a caller who leaves while its request is being placed
+// leaves no flight behind, whichever comes first.
+func TestWithdrawn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, leavesFirst := range []bool{true, false} {
+		log := slog.New(slog.NewTextHandler(io.Discard, nil))
+		fo := &Forwarder{Tracker: &tracker.Tracker{}, Log: log}
+		result := make(chan outcome, 1)
+		it := &item{id: "it", result: result}
+		g.Expect(fo.queue.add(it)).To(gomega.BeTrue())
+		fo.Tracker.Add(time.Now(), ml.Flight{ID: "f", Endpoint: "e", Sent: time.Now()})
+		ou := outcome{placement: &placement{flights: []ml.FlightID{"f"}}}
+		if leavesFirst {
+			fo.withdraw(it, result)
+			fo.deliver(it, ou)
+		} else {
+			fo.deliver(it, ou)
+			fo.withdraw(it, result)
+		}
+		g.Expect(fo.Tracker.Flights(time.Now())).To(gomega.BeEmpty())
+		g.Expect(fo.Waiting()).To(gomega.BeZero())
+	}
+}
+
 // TestBrokenStreamGoesOn checks that a stream which broke off is not late before
 // its caller gives up on the pause: else, with all engines busy, going on would
 // count as lost.
