--- a/internal/duty/forwarder/attempt.go
+++ b/internal/duty/forwarder/attempt.go
@@ -44,7 +44,7 @@
 		return end{notRun: true, reason: "no memory for the prompt", err: err}
 	}
 	defer fo.giveBack(pl)
-	wa := fo.watch(rq, pl, cancel)
+	wa := fo.watch(ctx, rq, pl, cancel)
 	defer wa.Stop()
 	out := rq.outgoing(pl)
 	sent := time.Now()
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -38,11 +38,14 @@
 	gap time.Duration // between events
 }
 
-// watch starts the watcher of an attempt.
-func (fo *Forwarder) watch(rq *Request, pl *placement, cancel context.CancelCauseFunc) *watcher {
+// watch starts the watcher of an attempt, which ends with ctx.
+func (fo *Forwarder) watch(ctx context.Context, rq *Request, pl *placement, cancel context.CancelCauseFunc) *watcher {
 	wa := &watcher{gap: max(gapFactor*rq.Route.GapTarget, gapLeast)}
 	wait := firstFactor*pl.predicted + firstMargin
 	wa.Timer = time.AfterFunc(wait, func() {
+		if ctx.Err() != nil {
+			return // it fired as the attempt ended
+		}
 		if rq.movable() && fo.prepay(rq) {
 			cancel(errSilent)
 			return
