--- a/internal/duty/forwarder/queue_test.go
+++ b/internal/duty/forwarder/queue_test.go
@@ -30,12 +30,14 @@
 	return ml.ListedEndpoint{Endpoint: ml.Endpoint{ID: ml.EndpointID(re.Key), Service: "lm", State: ml.StateLive}}, true, nil
 }
 
-// mute counts what is sent to it and never answers.
-type mute struct{ sent *atomic.Int64 }
+// mute counts what is sent to it and what of that is given up, and never
+// answers.
+type mute struct{ sent, left *atomic.Int64 }
 
 func (mu mute) Exchange(ctx context.Context, _ ml.ListedEndpoint, _ *ml.Outgoing) (*ml.Answer, error) {
 	mu.sent.Add(1)
 	<-ctx.Done()
+	mu.left.Add(1)
 	return nil, ctx.Err()
 }
 
@@ -137,6 +139,23 @@
 	}
 }
 
+// TestSilentEngineIsKept checks that an engine which is silent for long is not
+// left when there is no other that could go on.
+func TestSilentEngineIsKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	sent := &atomic.Int64{}
+	fo := newForwarder(ctx, "vm", sent)
+	rq := request(16)
+	rq.Route.GapTarget = 250 * time.Millisecond
+	left := &atomic.Int64{}
+	fo.Exchanger = mute{sent, left}
+	go fo.Forward(ctx, rq, noAnswer{})
+	g.Eventually(sent.Load, "1s", "2ms").Should(gomega.Equal(int64(1)))
+	g.Consistently(left.Load, firstMargin+gapLeast, "20ms").Should(gomega.BeZero())
+}
+
 // TestBrokenStreamGoesOn checks that a stream which broke off is not late before
 // its caller gives up on the pause: else, with all engines busy, going on would
 // count as lost.
@@ -161,7 +180,7 @@
 func newForwarder(ctx context.Context, self ml.VMID, sent *atomic.Int64) *Forwarder {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	fo := &Forwarder{
-		Self: self, Began: time.Now(), Exchanger: mute{sent}, Catalog: &cataloger.Cataloger{Decoder: oneEngine{}, Log: log}, Tracker: &tracker.Tracker{},
+		Self: self, Began: time.Now(), Exchanger: mute{sent, &atomic.Int64{}}, Catalog: &cataloger.Cataloger{Decoder: oneEngine{}, Log: log}, Tracker: &tracker.Tracker{},
 		Detector: &detector.Detector{}, Log: log, Metrics: noMeter{}, Told: func() {},
 	}
 	fo.Tracker.Changed = fo.Wake
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/placer"
 )
 
 const (
@@ -21,6 +22,9 @@
 	// silent.
 	gapFactor = 3
 	gapLeast  = time.Second
+	// patienceLeft is the part of a caller's patience that is taken to be left
+	// when an engine counts as silent.
+	patienceLeft = 2
 )
 
 var (
@@ -42,11 +46,12 @@
 func (fo *Forwarder) watch(ctx context.Context, rq *Request, pl *placement, cancel context.CancelCauseFunc) *watcher {
 	wa := &watcher{gap: max(gapFactor*rq.Route.GapTarget, gapLeast)}
 	wait := firstFactor*pl.predicted + firstMargin
+	movable := rq.movable()
 	wa.Timer = time.AfterFunc(wait, func() {
 		if ctx.Err() != nil {
 			return // it fired as the attempt ended
 		}
-		if rq.movable() && fo.prepay(rq) {
+		if movable && fo.elsewhere(time.Now(), rq, pl.lead.ID) && fo.prepay(rq) {
 			cancel(errSilent)
 			return
 		}
@@ -55,6 +60,29 @@
 	return wa
 }
 
+// elsewhere tells whether another engine could go on with a stream at once,
+// before its caller gives up on the pause. A silent engine may only be busy, and
+// is better than none.
+func (fo *Forwarder) elsewhere(now time.Time, rq *Request, lead ml.EndpointID) bool {
+	if rq.Spec == nil || rq.Spec.Engine == nil {
+		return true
+	}
+	left := rq.GiveUp.Sub(rq.Arrived) / patienceLeft
+	ask := placer.Request{
+		Figures: rq.Spec.Engine, Prompt: rq.Prompt, Answer: rq.Answer, FirstBy: now.Add(left), GiveUp: now.Add(left),
+		Gap: rq.Route.GapTarget, Worth: placer.Worth(rq.Prompt), Domain: fo.Domain,
+	}
+	flights := fo.Tracker.Flights(now)
+	candidates := []placer.Candidate{}
+	for _, li := range fo.Catalog.Usable(now, rq.Service) {
+		if li.ID != lead {
+			candidates = append(candidates, fo.candidate(now, li, flights[li.ID]))
+		}
+	}
+	ch := placer.Choose(now, &ask, candidates)
+	return !ch.Lost && !ch.Wait
+}
+
 // prepay takes the budget for one more attempt.
 func (fo *Forwarder) prepay(rq *Request) bool {
 	if !rq.paid.Load() && fo.budget(rq.Service).Retry() {
