fix: a prompt meant for one life of an engine is refused by the next

Change: the prompt names the incarnation that it is meant for, and the engine refuses it in any other. The call before it is gone. Ruled out: a shorter way between check and send, which leaves a window. TestRestartedEngineRefuses failed before.

--- a/internal/adapter/streamer/event.go
+++ b/internal/adapter/streamer/event.go
@@ -45,7 +45,7 @@
 func newEventReader(rs *http.Response, peer ml.EndpointID, after ml.Tokens) *eventReader {
 	const startBuffer = 4096
 	er := &eventReader{
-		peer: peer, in: ml.Incarnation(rs.Header.Get("X-Incarnation")), body: rs.Body,
+		peer: peer, in: ml.Incarnation(rs.Header.Get(headerIncarnation)), body: rs.Body,
 		lines: bufio.NewScanner(rs.Body), position: after,
 	}
 	er.lines.Buffer(make([]byte, startBuffer), maxEvent)
--- a/internal/adapter/streamer/streamer.go
+++ b/internal/adapter/streamer/streamer.go
@@ -16,6 +16,10 @@
 	"github.com/mulberrylever/mulberrylever/internal/adapter/requester"
 )
 
+// headerIncarnation names, in a request, the only life of the engine in which it
+// may run, and in an answer the life in which it runs.
+const headerIncarnation = "X-Incarnation"
+
 // Streamer implements ml.Engine.
 type Streamer struct {
 	streams *http.Client
@@ -54,6 +58,9 @@
 		return nil, fmt.Errorf("generate at %q: %w", ep.ID, err)
 	}
 	rq.Header.Set("Content-Type", "application/json")
+	if ge.Incarnation != "" {
+		rq.Header.Set(headerIncarnation, string(ge.Incarnation))
+	}
 	return st.open(rq, ep, "generate", ge.Position)
 }
 
--- a/internal/duty/dispatcher/stream.go
+++ b/internal/duty/dispatcher/stream.go
@@ -39,15 +39,13 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	di.checkInService(time.Now(), he.Endpoint)
-	if err := di.checkWarm(ctx, rq, he); err != nil {
-		return ml.Broken, err
-	}
 	if err := he.Usable(time.Now()); err != nil {
 		return ml.Unsent, err
 	}
 	ge := ml.Generation{
 		ID: he.ID, Model: rq.Model, Prompt: rq.Prompt, MaxTokens: rq.MaxTokens, Position: rq.Position,
 		Generated: string(rq.text), Priority: int(rq.rank), Group: gr.list(), Sampling: rq.Sampling,
+		Incarnation: meantFor(rq, he),
 	}
 	if mutator.Off(mutator.Positions) {
 		ge.Position = 0
@@ -72,26 +70,16 @@
 	return outcomeOf(ctx), err
 }
 
-// checkWarm asks the engine, right before a prompt that it could not carry when
-// cold is sent, whether it is still the process that the owner knows. Smaller
-// prompts need no such check: the owner lets so few of them be under way,
-// unconfirmed, that a cold engine can carry them.
-func (di *Dispatcher) checkWarm(ctx context.Context, rq *Request, he *holder.Held) error {
+// meantFor returns the life of the engine that a prompt is meant for, if the
+// engine could not carry the prompt when cold: it refuses it once it has
+// restarted. Smaller prompts go to any life: the owner lets so few of them be
+// under way, unconfirmed, that a cold engine can carry them.
+func meantFor(rq *Request, he *holder.Held) ml.Incarnation {
 	const share = 2 // as many again may come while news of the first is under way
 	if rq.Tokens <= he.Endpoint.ColdTokens/share {
-		return nil
-	}
-	re, err := di.Engine.Report(ctx, he.Endpoint)
-	if err != nil {
-		return &ml.Error{Type: ml.ErrEndpointFailed, Step: "check engine", Peer: string(he.Endpoint.ID), NotRun: true, Err: err}
-	}
-	if re.Incarnation != he.Incarnation {
-		return &ml.Error{
-			Type: ml.ErrEndpointFailed, Step: "check engine", Peer: string(he.Endpoint.ID), NotRun: true,
-			Err: errors.New("the engine has restarted and is cold"),
-		}
+		return ""
 	}
-	return nil
+	return he.Incarnation
 }
 
 // relay passes the tokens of a stream on. It checks that each is the next one
--- a/internal/standin/batcher/server.go
+++ b/internal/standin/batcher/server.go
@@ -16,6 +16,10 @@
 // maxBody bounds a request: a million tokens of prompt and some room.
 const maxBody = 32 << 20
 
+// headerIncarnation names, in a request, the only life of the engine in which it
+// may run, and in an answer the life in which it runs.
+const headerIncarnation = "X-Incarnation"
+
 // completionRequest is the body of a completion, with the engine's extensions.
 type completionRequest struct {
 	Model     ml.ModelID       `json:"model"`
@@ -56,7 +60,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	se, status, err := ba.start(time.Now(), cr)
+	se, status, err := ba.start(time.Now(), cr, ml.Incarnation(r.Header.Get(headerIncarnation)))
 	if err != nil {
 		http.Error(w, err.Error(), status)
 		return
@@ -67,8 +71,9 @@
 	ba.stream(w, r, se, cr.Position)
 }
 
-// start adds a sequence. An overloaded cold engine ends here.
-func (ba *Batcher) start(now time.Time, cr completionRequest) (*sequence, int, error) {
+// start adds a sequence, unless it is meant for another life of the engine. An
+// overloaded cold engine ends here.
+func (ba *Batcher) start(now time.Time, cr completionRequest, meantFor ml.Incarnation) (*sequence, int, error) {
 	blocks := blockHashes(cr.Prompt)
 	tokens := ml.EstimateTokens(cr.Prompt)
 	elsewhere := ml.Tokens(0)
@@ -86,6 +91,8 @@
 	switch {
 	case sc.asleep:
 		return nil, http.StatusServiceUnavailable, fmt.Errorf("engine %q is switched off", ba.Endpoint.ID)
+	case meantFor != "" && meantFor != sc.incarnation:
+		return nil, http.StatusPreconditionFailed, fmt.Errorf("meant for incarnation %q, this is %q", meantFor, sc.incarnation)
 	case cr.Model != ba.Endpoint.Model:
 		return nil, http.StatusNotFound, fmt.Errorf("model %q is not loaded", cr.Model)
 	case se.memory > ba.Endpoint.Memory:
@@ -126,7 +133,7 @@
 func (ba *Batcher) stream(w http.ResponseWriter, r *http.Request, se *sequence, after ml.Tokens) {
 	ba.sc.mu.Lock()
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("X-Incarnation", string(ba.sc.incarnation))
+	w.Header().Set(headerIncarnation, string(ba.sc.incarnation))
 	ba.sc.mu.Unlock()
 	rc := http.NewResponseController(w)
 	w.WriteHeader(http.StatusOK)
--- a/ports.go
+++ b/ports.go
@@ -18,6 +18,9 @@
 	Priority  int    // lower goes first
 	Group     []GroupMember
 	Sampling  Sampling
+	// Incarnation is the life of the engine that the request is meant for; the
+	// engine refuses it in any other. Empty for any.
+	Incarnation Incarnation
 }
 
 // Sampling holds a caller's wishes that are handed to the engine as they are.
