perf: prompts that can no longer be in time at a busy engine wait behind others

Cause: the order of what waits reckoned with the time of reading alone (33 ms for a short prompt), while a first event takes some 150 ms at an engine that answers others. Change: placer.LatestStart reckons with one and a half passes of a full engine and a part in hand, and long prompts as read by a group. Ruled out: lack of engines alone; at 135 ms of waiting all could have been in time. TestLateGoBehind failed with the old reckoning.

--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -69,6 +69,19 @@
 	Domain  ml.DomainID // where the caller entered
 }
 
+// LatestStart returns the latest moment at which reading may begin so that the
+// first event is in time, at an engine that is busy with other answers. A prompt
+// that takes long is reckoned to be read by a group.
+func (rq *Request) LatestStart() time.Time {
+	const most, each = 4, time.Second
+	fi := rq.Figures
+	parts := min(1+int(forecaster.Reading(fi, rq.Prompt, 1)/each), most)
+	context := min(ml.Tokens(fi.Slots)*(rq.Prompt+rq.Answer), fi.Memory)
+	pass := forecaster.Pass(fi, fi.Slots, context)
+	needs := forecaster.Reading(fi, rq.Prompt, parts) + pass + pass/2
+	return rq.FirstBy.Add(-time.Duration((1 + slackShare) * float64(needs)))
+}
+
 // Candidate is an engine that may take the prompt.
 type Candidate struct {
 	Endpoint ml.ListedEndpoint
--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -59,7 +59,7 @@
 	ask := rq.ask(fo.Domain)
 	it := &item{
 		id: fo.flightID(), rq: rq, service: rq.Service, ask: ask, since: now, result: result,
-		urgency: ask.FirstBy.Add(-forecaster.Reading(ask.Figures, ask.Prompt, 1)),
+		urgency: ask.LatestStart(),
 	}
 	it.order = fo.Began.UnixMilli() + it.urgency.Sub(fo.Began).Milliseconds() // no jump of the time of day changes it
 	if !fo.queue.add(it) {
@@ -202,7 +202,7 @@
 			Figures: rq.Spec.Engine, Prompt: wa.Prompt, Answer: wa.Answer, FirstBy: wa.FirstBy, GiveUp: wa.GiveUp, Gap: wa.Gap, Worth: wa.Worth,
 		}
 		out = append(out, &item{
-			id: wa.ID, service: wa.Service, ask: ask, since: now, order: wa.Order, urgency: wa.FirstBy.Add(-forecaster.Reading(ask.Figures, ask.Prompt, 1)),
+			id: wa.ID, service: wa.Service, ask: ask, since: now, order: wa.Order, urgency: ask.LatestStart(),
 		})
 	}
 	return out
--- a/internal/duty/forwarder/queue.go
+++ b/internal/duty/forwarder/queue.go
@@ -20,7 +20,7 @@
 	service ml.ServiceName
 	ask     placer.Request
 	since   time.Time
-	urgency time.Time // latest moment at which one engine could begin
+	urgency time.Time // latest moment at which engines could begin and be in time
 	order   int64     // of the urgency, as the entry VM of the request counts time
 	told    bool      // the other entry VMs know that it waits
 	result  chan<- outcome
--- a/internal/duty/forwarder/queue_test.go
+++ b/internal/duty/forwarder/queue_test.go
@@ -217,3 +217,26 @@
 		GiveUp: now.Add(40 * time.Second), Deadline: now.Add(40 * time.Second),
 	}
 }
+
+// TestLateGoBehind replays a wave of short prompts that fills all places: one that has
+// waited too long to be in time at a busy engine goes behind one that still can
+// be, though it would be in time at an idle one.
+func TestLateGoBehind(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	wait := func(id ml.FlightID, left time.Duration) *item {
+		ask := placer.Request{Figures: figures(), Prompt: 5000, Answer: 1600, FirstBy: now.Add(left)}
+		return &item{id: id, ask: ask, urgency: ask.LatestStart(), order: ask.LatestStart().UnixMilli()}
+	}
+	items := []*item{wait("late", 60*time.Millisecond), wait("new", 280*time.Millisecond), wait("next", 200*time.Millisecond)}
+	sortItems(items, now)
+	g.Expect([]ml.FlightID{items[0].id, items[1].id, items[2].id}).To(gomega.Equal([]ml.FlightID{"next", "new", "late"}))
+}
+
+// figures are those of an engine that reads 177 tokens in a millisecond.
+func figures() *ml.EngineFigures {
+	return &ml.EngineFigures{
+		Slots: 16, Memory: 315_000, Stride: 51, Chunk: 2048, Step: 850 * time.Microsecond, StepSequence: 4 * time.Microsecond,
+		StepContext: 3 * time.Microsecond, ReadRate: 177_000, ReadPairs: 184 * time.Microsecond,
+	}
+}
