perf: the likelihood of being late follows from how far predictions are off

Cause: a first event predicted before its objective counted as certain, so short prompts piled up behind others as long as the sum looked in time, and long ones took too few engines. Change: missed = 0.75 * (time left / time predicted)^-2.6, which fits this spread, for the caller and for those who are delayed, in place of a ramp of 15 in 100 around the objective. Ruled out: a better forecast of the mean alone; it is off by 15 in 100 only.

--- a/internal/decision/placer/group.go
+++ b/internal/decision/placer/group.go
@@ -294,9 +294,7 @@
 // miss returns how much more likely a first event is to miss a time when it
 // comes later.
 func (ch *chooser) miss(first time.Time, by time.Duration, at time.Time) float64 {
-	off := float64(max(time.Duration(slackShare*float64(first.Sub(ch.now))), slackLeast))
-	slack := float64(first.Sub(at))
-	return ramp(slack+float64(by), -off, off) - ramp(slack, -off, off)
+	return ch.missed(first.Add(by), at) - ch.missed(first, at)
 }
 
 // Worth returns what an answer is worth to its caller: it grows with the work
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -4,6 +4,7 @@
 package placer
 
 import (
+	"math"
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
@@ -47,12 +48,13 @@
 	// certain and likely bound the ratio of a pause to its objective between
 	// which keeping the objective turns from certain to unlikely.
 	likely, unlikely = 0.8, 1.15
-	// slackShare and slackLeast tell how far a prediction may be off.
+	// missEven is the likelihood that a first event is later than predicted, and
+	// missFalls the power by which it falls with the ratio of the time that is
+	// left to the predicted one.
+	missEven, missFalls = 0.75, 2.6
+	// slackShare is the part of the predicted time that is kept in hand when
+	// requests are put in order.
 	slackShare = 0.15
-	slackLeast = 15 * time.Millisecond
-	// lostFactor is how much longer than predicted a first event may take that
-	// must come before the caller leaves: what comes later delays it.
-	lostFactor = 1.4
 	// retryLeast and retryMost bound the time after which a caller is asked to
 	// come again.
 	retryLeast, retryMost = 100 * time.Millisecond, 5 * time.Second
@@ -225,13 +227,21 @@
 
 // selfLoss returns what the caller loses when its first event comes at first.
 func (ch *chooser) selfLoss(first time.Time) float64 {
-	off := max(time.Duration(slackShare*float64(first.Sub(ch.now))), slackLeast)
-	late := ramp(float64(first.Sub(ch.rq.FirstBy)), -float64(off), float64(off))
-	longest := ch.now.Add(time.Duration(lostFactor * float64(first.Sub(ch.now))))
-	lost := ramp(float64(longest.Sub(ch.rq.GiveUp)), -float64(off), float64(off))
+	late := ch.missed(first, ch.rq.FirstBy)
+	lost := ch.missed(first, ch.rq.GiveUp)
 	return ch.rq.Worth * (lateLoss*late + (1-lateLoss)*lost)
 }
 
+// missed returns how likely a first event that is predicted for first comes
+// after at: what takes long may take longer still.
+func (ch *chooser) missed(first, at time.Time) float64 {
+	predicted, left := first.Sub(ch.now), at.Sub(ch.now)
+	if left <= 0 {
+		return 1
+	}
+	return min(missEven*math.Pow(float64(left)/float64(max(predicted, 1)), -missFalls), 1)
+}
+
 // waitLoss returns the risk of waiting until start: less is left for what can't
 // be predicted.
 func (ch *chooser) waitLoss(start time.Time) float64 {
--- a/internal/decision/placer/placer_test.go
+++ b/internal/decision/placer/placer_test.go
@@ -53,6 +53,9 @@
 		ca := &sc.candidates[number(t, td, "e", 0)]
 		ca.Closed = td.HasArg("closed")
 		ca.Failing = float64(number(t, td, "failing", 0)) / 100
+		if td.HasArg("domain") {
+			td.ScanArgs(t, "domain", (*string)(&ca.Endpoint.Domain))
+		}
 		ca.Preference = uint64(number(t, td, "preference", 0))
 	case "choose":
 		return sc.choose(t, td)
