perf: the cost of a fresh engine follows from how much longer it is held

Cause: an engine with one short answer counted as no longer fresh, so once short ones had spread, nothing gathered them again: long prompts met 24 to 50 answers on 9 to 14 engines, where 2 or 3 engines could have held them. Change: the cost is 0.7 for the time by which the new answer outlasts the latest of its kind there; parts of a group hold only the engine that answers.

--- a/internal/decision/placer/group.go
+++ b/internal/decision/placer/group.go
@@ -187,9 +187,7 @@
 	if st.Endpoint.Domain != ch.rq.Domain {
 		base += farCost
 	}
-	if !ch.beside(&st.engine) {
-		base += freshCost
-	}
+	base += freshCost * ch.held(&st.engine) / float64(parts) // one of them answers
 	op.cost = base + ch.pauses(st, part, parts, &op.clear) + ch.delays(st, part, parts)
 	op.after = base
 	return op
@@ -213,20 +211,23 @@
 	return end
 }
 
-// beside tells whether the engine already has work with the same objective for
-// pauses, so that nothing is lost by adding more of it.
-func (ch *chooser) beside(en *forecaster.Engine) bool {
-	for _, fl := range en.Writers {
-		if fl.Gap == ch.rq.Gap {
-			return true
+// held returns by how much longer the answer would keep an engine from prompts
+// that need one without answers of its kind, as a share of the answer's time: all
+// of it at an engine that has none, little at one that has just been given one.
+func (ch *chooser) held(en *forecaster.Engine) float64 {
+	latest := time.Time{}
+	for i := range en.Writers {
+		if fl := &en.Writers[i]; fl.Gap == ch.rq.Gap {
+			latest = later(latest, fl.Sent)
 		}
 	}
-	for _, re := range en.Readers {
-		if !re.Flight.Helper && re.Flight.Gap == ch.rq.Gap {
-			return true
+	for i := range en.Readers {
+		if fl := &en.Readers[i].Flight; !fl.Helper && fl.Gap == ch.rq.Gap {
+			latest = later(latest, fl.Sent)
 		}
 	}
-	return false
+	writing := forecaster.Writing(ch.rq.Figures, ch.rq.Prompt, ch.rq.Answer)
+	return min(float64(ch.now.Sub(latest))/float64(max(writing, 1)), 1)
 }
 
 // pauses returns the loss of those whose answers pause longer because a part
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -22,9 +22,9 @@
 	// joinDelay is the share of a prompt's reading by which it delays prompts
 	// that the engine already reads.
 	joinDelay = 0.4
-	// freshCost is the loss that stands for taking an engine without other
-	// work of this kind away from prompts that need one.
-	freshCost = 0.35
+	// freshCost is the loss that stands for taking an engine away from prompts
+	// that need one without answers of this kind, for as long as the answer.
+	freshCost = 0.7
 	// partCost is the loss that stands for each further engine of a group.
 	partCost = 0.04
 	// waitCost is the share of its worth that waiting costs when it takes all
@@ -32,7 +32,7 @@
 	waitCost, waitLeast = 0.4, 0.02
 	// alikeLoss, a share of its worth, and alikeTime tell how much worse an
 	// engine may be to count as like the best.
-	alikeLoss = 0.001
+	alikeLoss = 0.01
 	alikeTime = 25 * time.Millisecond
 	// farCost stands for the bytes to another failure domain.
 	farCost = 0.002
--- a/internal/decision/placer/placer_test.go
+++ b/internal/decision/placer/placer_test.go
@@ -69,15 +69,16 @@
 // being generated.
 func (sc *script) flight(t *testing.T, td *datadriven.TestData) {
 	prompt := ml.Tokens(number(t, td, "prompt", 5000))
+	age := time.Duration(number(t, td, "age", 0)) * time.Millisecond
 	for range number(t, td, "n", 1) {
 		sc.flights++
 		fl := ml.Flight{
-			ID: ml.FlightID(fmt.Sprintf("f%d", sc.flights)), Sent: sc.now, Reading: forecaster.Reading(figures(), prompt, 1),
+			ID: ml.FlightID(fmt.Sprintf("f%d", sc.flights)), Sent: sc.now.Add(-age), Reading: forecaster.Reading(figures(), prompt, 1),
 			Writing: time.Duration(number(t, td, "writing", 1600)) * time.Millisecond, Memory: prompt, Worth: placer.Worth(prompt),
 			FirstBy: sc.now.Add(time.Duration(number(t, td, "target", 300)) * time.Millisecond), Gap: time.Duration(number(t, td, "gap", 250)) * time.Millisecond,
 		}
 		if td.HasArg("writes") {
-			fl.Began = sc.now
+			fl.Began = fl.Sent
 		}
 		ca := &sc.candidates[number(t, td, "e", 0)]
 		ca.Flights = append(ca.Flights, fl)
