perf: news is passed on within a failure domain, by those with more of a processor

Change: who passes on serves its own domain and one member of each other domain; the one with the most cores goes first; everything under way is told each 2.8 s, in between only that one lives. Two of each domain wait at the store, the others look now and then. Ruled out: a longer time of gathering alone, which makes news older. TestLargeFleetPassesOn counts readers and kills those that pass on.

--- a/exchange.go
+++ b/exchange.go
@@ -93,7 +93,8 @@
 	Heads   map[TopicName]Offset `json:"heads,omitempty"`   // how far the sender has read
 	Leaving bool                 `json:"leaving,omitempty"`
 	Domain  DomainID             `json:"domain,omitempty"`
-	PassOn  bool                 `json:"passOn,omitempty"` // to all others
+	Cores   float64              `json:"cores,omitempty"`  // of the sender
+	PassOn  bool                 `json:"passOn,omitempty"` // to all others; passed ones to those of the receiver's domain
 	Passed  []Shared             `json:"passed,omitempty"` // messages of others, passed on
 	AgeMs   int64                `json:"ageMs,omitempty"`  // of a message that was passed on, in milliseconds
 }
--- a/internal/duty/sharer/member.go
+++ b/internal/duty/sharer/member.go
@@ -31,6 +31,7 @@
 	added   time.Time
 	heard   time.Time // when something of it came
 	leaving bool
+	cores   float64
 	reached bool
 	asked   time.Time // when it was last sent what it has to answer; used by its loop only
 	stop    context.CancelFunc
@@ -63,7 +64,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	if me := sh.members[ms.Address]; me != nil {
-		me.heard, me.domain, me.leaving = now, ms.Domain, ms.Leaving
+		me.heard, me.domain, me.cores, me.leaving = now, ms.Domain, ms.Cores, ms.Leaving
 	}
 }
 
--- a/internal/duty/sharer/relay.go
+++ b/internal/duty/sharer/relay.go
@@ -15,36 +15,37 @@
 	// passMember is how long messages are gathered before they are passed on,
 	// for each member, so that the number of messages to one member does not
 	// grow with the fleet.
-	passMember = 500 * time.Microsecond
+	passMember = 300 * time.Microsecond
 	// relayHeard is the time without news after which a member no longer passes
 	// messages on for others.
 	relayHeard = 1500 * time.Millisecond
 	// batchMost bounds the messages that wait to be passed on; the oldest is
 	// dropped, since the next whole one makes up for it.
 	batchMost = 4096
+	// readersMost is the number of entry VMs of a failure domain that wait at the
+	// platform's store for news in a large fleet.
+	readersMost = 2
 )
 
 // passed is a message that waits to be passed on.
 type passed struct {
-	ms ml.Shared
-	at time.Time // when it came
+	ms     ml.Shared
+	at     time.Time // when it came
+	within bool      // to this failure domain only
 }
 
-// relay returns the member that passes this entry VM's messages on: the first by
-// address of those heard in its failure domain. It returns nil when that is this
-// entry VM itself. No agreement is needed: whoever is asked to pass a message on
-// does so. It needs the lock.
-func (sh *Sharer) relay(now time.Time) *member {
+// relay returns the member that passes messages on in a failure domain: the
+// first of those heard there. It returns nil when there is none, or when it is
+// this entry VM itself. No agreement is needed: whoever is asked to pass a
+// message on does so. It needs the lock.
+func (sh *Sharer) relay(now time.Time, domain ml.DomainID) *member {
 	var first *member
 	for _, me := range sh.members {
-		if me.domain != sh.Domain || !me.relays(now) {
-			continue
-		}
-		if first == nil || me.address < first.address {
+		if me.domain == domain && me.relays(now) && (first == nil || me.before(first.cores, first.address)) {
 			first = me
 		}
 	}
-	if first == nil || sh.Address < first.address && !sh.Leaving() {
+	if domain == sh.Domain && (first == nil || !first.before(sh.Cores, sh.Address) && !sh.Leaving()) {
 		return nil
 	}
 	return first
@@ -55,16 +56,59 @@
 	return me.reached && !me.leaving && now.Sub(me.heard) < relayHeard
 }
 
+// before tells whether a member goes before an entry VM: the one with more of a
+// processor, since passing on is work.
+func (me *member) before(cores float64, address string) bool {
+	if me.cores != cores {
+		return me.cores > cores
+	}
+	return me.address < address
+}
+
+// large tells whether messages are passed on. It needs the lock.
+func (sh *Sharer) large() bool { return len(sh.members) >= directMost }
+
+// Reads tells whether this entry VM waits at the platform's store for news: all
+// do in a small fleet, some of each failure domain in a large one.
+func (sh *Sharer) Reads(now time.Time) bool {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if !sh.large() {
+		return true
+	}
+	n := 0
+	for _, me := range sh.members {
+		if me.domain == sh.Domain && me.relays(now) && me.before(sh.Cores, sh.Address) {
+			n++
+		}
+	}
+	return n < readersMost
+}
+
 // pass puts a message into the next batch. It needs the lock.
-func (sh *Sharer) pass(now time.Time, ms ml.Shared) {
+func (sh *Sharer) pass(now time.Time, ms ml.Shared, within bool) {
 	ms.PassOn = false
 	if len(sh.batch) >= batchMost {
 		sh.batch = sh.batch[1:]
 	}
-	sh.batch = append(sh.batch, passed{ms, now})
+	sh.batch = append(sh.batch, passed{ms, now, within})
 	wake(sh.batched)
 }
 
+// passAsked puts what a member has asked to pass on into the next batch: its own
+// message for all, or those of another failure domain for this one.
+func (sh *Sharer) passAsked(now time.Time, ms ml.Shared) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if len(ms.Passed) == 0 {
+		sh.pass(now, ms, false)
+		return
+	}
+	for _, other := range ms.Passed {
+		sh.pass(now, other, true)
+	}
+}
+
 // runPassOn passes messages on, many at once, until ctx ends.
 func (sh *Sharer) runPassOn(ctx context.Context) {
 	for {
@@ -85,14 +129,31 @@
 	return max(gather, passMember*time.Duration(len(sh.members)))
 }
 
+// passBatch sends the batch to the members of the own failure domain, and what
+// has come from there to one member of each other domain.
 func (sh *Sharer) passBatch(now time.Time) {
-	ms := sh.sign(ml.Shared{})
+	near, far := sh.sign(ml.Shared{}), sh.sign(ml.Shared{PassOn: true})
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	for _, pa := range sh.batch {
-		pa.ms.AgeMs = now.Sub(pa.at).Milliseconds()
-		ms.Passed = append(ms.Passed, pa.ms)
+		pa.ms.AgeMs += now.Sub(pa.at).Milliseconds()
+		near.Passed = append(near.Passed, pa.ms)
+		if !pa.within {
+			far.Passed = append(far.Passed, pa.ms)
+		}
 	}
 	sh.batch = nil
-	sh.tellAll(ms)
+	domains := map[ml.DomainID]bool{sh.Domain: true, "": true}
+	for _, me := range sh.members {
+		if me.domain == sh.Domain || me.domain == "" {
+			me.put(near)
+		}
+		if domains[me.domain] || len(far.Passed) == 0 {
+			continue
+		}
+		domains[me.domain] = true
+		if re := sh.relay(now, me.domain); re != nil {
+			re.put(far)
+		}
+	}
 }
--- a/internal/duty/sharer/sharer.go
+++ b/internal/duty/sharer/sharer.go
@@ -27,6 +27,9 @@
 	whole       = 500 * time.Millisecond
 	wholeMember = 20 * time.Millisecond
 	wholeMost   = 700 * time.Millisecond
+	// wholeEach is the number of these messages of which one tells everything in
+	// a large fleet.
+	wholeEach = 4
 	// callTimeout bounds one call.
 	callTimeout = time.Second
 )
@@ -35,6 +38,7 @@
 type Sharer struct {
 	Self     ml.VMID
 	Domain   ml.DomainID
+	Cores    float64  // of this entry VM; those with more pass messages on
 	Address  string   // of this entry VM, for others
 	Seeds    []string // addresses to begin with
 	Peers    ml.SharePeers
@@ -50,6 +54,7 @@
 	members map[string]*member
 	news    []ml.KeyRecord // from the store, not yet told
 	batch   []passed
+	beats   int         // messages of tellWhole; used by Run only
 	sync    atomic.Bool // a fetch of records is under way
 }
 
@@ -111,7 +116,7 @@
 // long. It returns the time until the next such message.
 func (sh *Sharer) tellWhole(ctx context.Context, now time.Time) time.Duration {
 	sh.tellChanges(now)
-	sh.tell(now, sh.Tracker.Whole(now))
+	sh.tell(now, sh.beat(now))
 	sh.drop(now)
 	for _, address := range sh.Seeds {
 		sh.Add(ctx, address)
@@ -121,6 +126,19 @@
 	return min(max(whole, wholeMember*time.Duration(len(known))), wholeMost)
 }
 
+// beat returns everything, in a large fleet only now and then: it is told so
+// that others know that this entry VM lives.
+func (sh *Sharer) beat(now time.Time) ml.Shared {
+	sh.mu.Lock()
+	large := sh.large()
+	sh.mu.Unlock()
+	sh.beats++
+	if large && sh.beats%wholeEach != 0 {
+		return ml.Shared{}
+	}
+	return sh.Tracker.Whole(now)
+}
+
 // greet tells one member, any, whom this entry VM knows and how far it has
 // read, and so learns the same of it: what messages have missed is made up for.
 func (sh *Sharer) greet(known []string) {
@@ -139,7 +157,7 @@
 
 // sign adds who tells it.
 func (sh *Sharer) sign(ms ml.Shared) ml.Shared {
-	ms.From, ms.Address, ms.Domain, ms.Leaving = sh.Self, sh.Address, sh.Domain, sh.Leaving()
+	ms.From, ms.Address, ms.Domain, ms.Cores, ms.Leaving = sh.Self, sh.Address, sh.Domain, sh.Cores, sh.Leaving()
 	return ms
 }
 
@@ -148,23 +166,18 @@
 	ms = sh.sign(ms)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	if len(sh.members) < directMost {
-		sh.tellAll(ms)
+	if !sh.large() {
+		for _, me := range sh.members {
+			me.put(ms)
+		}
 		return
 	}
-	if re := sh.relay(now); re != nil {
+	if re := sh.relay(now, sh.Domain); re != nil {
 		ms.PassOn = true
 		re.put(ms)
 		return
 	}
-	sh.pass(now, ms)
-}
-
-// tellAll puts a message into the rings of all members. It needs the lock.
-func (sh *Sharer) tellAll(ms ml.Shared) {
-	for _, me := range sh.members {
-		me.put(ms)
-	}
+	sh.pass(now, ms, false)
 }
 
 // OnShare implements ml.ShareHandler.
@@ -175,9 +188,7 @@
 		sh.learn(now, other)
 	}
 	if ms.PassOn {
-		sh.mu.Lock()
-		sh.pass(now, ms)
-		sh.mu.Unlock()
+		sh.passAsked(now, ms)
 	}
 	ack := ml.ShareAck{Heads: sh.Catalog.Heads()}
 	if len(ms.Known) > 0 {
--- a/internal/duty/sharer/sharer_test.go
+++ b/internal/duty/sharer/sharer_test.go
@@ -125,6 +125,17 @@
 	return n
 }
 
+// readers returns how many entry VMs wait at the platform's store.
+func (fl *fleet) readers() int {
+	n := 0
+	for _, sh := range fl.nodes {
+		if sh.Reads(time.Now()) {
+			n++
+		}
+	}
+	return n
+}
+
 const patience = 20 * time.Second
 
 // TestSmallFleetTellsDirectly checks that entry VMs that know two find all, and
@@ -156,6 +167,7 @@
 	g.Eventually(func() int { return fl.knowing("e") }).WithTimeout(patience).Should(gomega.Equal(n))
 	g.Expect(fl.ne.told.Load()-before).To(gomega.BeNumerically("<=", rounds*flights), "one message for each change")
 
+	g.Eventually(fl.readers).WithTimeout(patience).Should(gomega.Equal(4), "two of each failure domain wait at the store")
 	fl.kill(0)
 	fl.kill(1)
 	fl.nodes[n-1].Tracker.Add(time.Now(), ml.Flight{ID: "late", Endpoint: "late", Sent: time.Now()})
