fix: a member that was never sent to may pass messages on

Cause: only members that a message had reached counted as able to pass on or as readers of the store, but in a large fleet most are never sent to: up to ten of a domain waited at the store, and after a death few could take over. Change: a member counts unless a message has failed to reach it within 3 s. Ruled out: greeting all by turns, 88 calls for each.

--- a/internal/duty/sharer/member.go
+++ b/internal/duty/sharer/member.go
@@ -33,6 +33,7 @@
 	leaving bool
 	cores   float64
 	reached bool
+	failed  time.Time // when a message last did not reach it; zero since one did
 	asked   time.Time // when it was last sent what it has to answer; used by its loop only
 	stop    context.CancelFunc
 }
@@ -145,7 +146,10 @@
 func (sh *Sharer) reached(ctx context.Context, me *member, err error) {
 	sh.mu.Lock()
 	changed := me.reached != (err == nil)
-	me.reached = err == nil
+	me.reached, me.failed = err == nil, time.Time{}
+	if err != nil {
+		me.failed = time.Now()
+	}
 	sh.mu.Unlock()
 	if changed {
 		sh.Log.Info("member", "address", me.address, "reached", err == nil, "error", err)
--- a/internal/duty/sharer/relay.go
+++ b/internal/duty/sharer/relay.go
@@ -19,6 +19,9 @@
 	// relayHeard is the time without news after which a member no longer passes
 	// messages on for others.
 	relayHeard = 1500 * time.Millisecond
+	// relayFailed is the time for which a member that could not be reached does not
+	// pass messages on for this entry VM.
+	relayFailed = 3 * time.Second
 	// batchMost bounds the messages that wait to be passed on; the oldest is
 	// dropped, since the next whole one makes up for it.
 	batchMost = 4096
@@ -53,7 +56,7 @@
 
 // relays tells whether a member can pass messages on.
 func (me *member) relays(now time.Time) bool {
-	return me.reached && !me.leaving && now.Sub(me.heard) < relayHeard
+	return now.Sub(me.failed) > relayFailed && !me.leaving && now.Sub(me.heard) < relayHeard
 }
 
 // before tells whether a member goes before an entry VM: the one with more of a
