perf: who costs others too much comes back when engines have had the time to spare

Cause: a refused prompt was asked back after 0.1 to 5 s, whatever it needs. Change: not before the engines, at the share that is idle now, have had as much time to spare as the prompt takes; at most 30 s. Ruled out: a longer fixed time (a quiet fleet serves most that come back). The last script of testdata/refuse failed before (4.6 s).

--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -61,6 +61,10 @@
 	// retryBusy is the same for one that could be served, but only late and at
 	// the cost of others: not before engines have had time to become free.
 	retryBusy = 4 * time.Second
+	// idleLeast is the least share of engines that is taken to be idle when time
+	// to spare is reckoned, and spareMost the longest such time.
+	idleLeast = 0.05
+	spareMost = 30 * time.Second
 )
 
 // Request is a prompt to be placed.
@@ -205,9 +209,17 @@
 // retry returns when the caller of a prompt that is lost should come again.
 func (ch *chooser) retry(best Choice) time.Duration {
 	if best.Lead >= 0 && best.First.Before(ch.rq.GiveUp) {
-		return retryBusy
+		return max(retryBusy, ch.spare())
 	}
-	return min(max(ch.soonest(best).Sub(ch.rq.GiveUp), retryLeast), retryMost)
+	return max(min(max(ch.soonest(best).Sub(ch.rq.GiveUp), retryLeast), retryMost), ch.spare())
+}
+
+// spare returns the time within which the engines, as busy as they are, have as
+// much time to spare as the prompt takes.
+func (ch *chooser) spare() time.Duration {
+	whole := forecaster.Reading(ch.rq.Figures, ch.rq.Prompt, 1)
+	idle := max(1-ch.busy(), idleLeast) * float64(max(len(ch.states), 1))
+	return min(time.Duration(float64(whole)/idle), spareMost)
 }
 
 // soonest returns when a prompt that is lost now could have its first event: as
