perf: the more prompts are not seen yet, the wider the choice among alike engines

Cause: prompts gather at the engine that was given one last. Change: the tolerance within which engines count as alike grows with the prompts that others place while news is on its way, 4 ms in a small fleet. Ruled out: older news alone; halving the gathering doubles the messages.

--- a/internal/decision/placer/group.go
+++ b/internal/decision/placer/group.go
@@ -63,12 +63,14 @@
 		}
 	}
 	picked := least
+	more := 1 + min(ch.rq.Unseen, alikeMost)
 	for _, own := range choices {
-		alike := own.Loss <= least.Loss+alikeLoss*ch.rq.Worth && own.First.Sub(least.First) <= alikeTime
+		alike := own.Loss <= least.Loss+more*alikeLoss*ch.rq.Worth && own.First.Sub(least.First) <= time.Duration(more*float64(alikeTime))
 		if alike && ch.states[own.Lead].Preference > ch.states[picked.Lead].Preference {
 			picked = own
 		}
 	}
+	picked.Loss = least.Loss // it counts as like the best
 	if picked.Lead >= 0 && picked.Loss < best.Loss {
 		*best = picked
 	}
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -31,9 +31,11 @@
 	// of the time up to the objective, and waitLeast what it must save.
 	waitCost, waitLeast = 0.4, 0.02
 	// alikeLoss, a share of its worth, and alikeTime tell how much worse an
-	// engine may be to count as like the best.
+	// engine may be to count as like the best; by so much more for each prompt
+	// that is not seen, up to alikeMost.
 	alikeLoss = 0.01
 	alikeTime = 25 * time.Millisecond
+	alikeMost = 10
 	// farCost stands for the bytes to another failure domain.
 	farCost = 0.002
 	// busyCost is the loss that an engine-second stands for when all engines
@@ -77,6 +79,9 @@
 	Gap     time.Duration // objective for the pause between events
 	Worth   float64
 	Domain  ml.DomainID // where the caller entered
+	// Unseen is how many prompts other entry VMs are expected to have placed
+	// without this one knowing yet.
+	Unseen float64
 }
 
 // LatestStart returns the latest moment at which reading may begin so that the
--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -165,6 +165,7 @@
 	items = append(items, fo.peersItems(now, items[0].rq)...)
 	sortItems(items, now)
 	flights := fo.Tracker.Flights(now)
+	unseen := fo.unseen(now, flights)
 	placeable := make(map[ml.FlightID]time.Time)
 	for _, it := range items {
 		since, known := fo.placeable[it.id]
@@ -172,6 +173,7 @@
 			placeable[it.id] = since
 			continue
 		}
+		it.ask.Unseen = unseen
 		listings := fo.Catalog.Usable(now, it.service)
 		ou, decided := fo.decide(now, it, listings, flights)
 		switch {
@@ -192,6 +194,23 @@
 	fo.placeable = placeable
 }
 
+// unseen returns how many prompts others have placed in the time that news of
+// them takes.
+func (fo *Forwarder) unseen(now time.Time, flights map[ml.EndpointID][]ml.Flight) float64 {
+	if fo.Lag == nil {
+		return 0
+	}
+	n := 0
+	for _, all := range flights {
+		for i := range all {
+			if !all[i].Helper && now.Sub(all[i].Sent) < time.Second {
+				n++
+			}
+		}
+	}
+	return float64(n) * fo.Lag().Seconds()
+}
+
 // peersItems returns the requests that wait at other entry VMs for the service
 // of a request of our own.
 func (fo *Forwarder) peersItems(now time.Time, rq *Request) []*item {
--- a/internal/duty/sharer/relay.go
+++ b/internal/duty/sharer/relay.go
@@ -132,6 +132,17 @@
 	return max(gather, passMember*time.Duration(len(sh.members)))
 }
 
+// Lag returns how long news takes to all entry VMs, as a mean.
+func (sh *Sharer) Lag() time.Duration {
+	sh.mu.Lock()
+	large := sh.large()
+	sh.mu.Unlock()
+	if !large {
+		return gather
+	}
+	return gather + 2*sh.passTime() // in two domains, each a part on the way
+}
+
 // passBatch sends the batch to the members of the own failure domain, and what
 // has come from there to one member of each other domain.
 func (sh *Sharer) passBatch(now time.Time) {
