--- a/Makefile
+++ b/Makefile
@@ -26,8 +26,9 @@
 demo: build ## a fleet of real processes; FLEET=tinjau or guild; PLATFORM=1 on a stand-in of the users' platform
 	$(if $(PLATFORM),scripts/platform-demo.sh,FLEET=$(FLEET) scripts/demo.sh)
 
-soak: ## a long random run with failures; SEED=n DURATION=d FLEET=tinjau or guild
-	SEED=$(SEED) DURATION=$(DURATION) FLEET=$(FLEET) go test -tags soak ./internal/proof/prover/ -count=1 -timeout 3h -v -ginkgo.focus "soak keeps every invariant"
+soak: build ## a long random run with failures; SEED=n DURATION=d FLEET=tinjau or guild; PLATFORM=1 on the users' platform
+	$(if $(PLATFORM),PROGRAM=$(CURDIR)/bin/mulberrylever SEED=$(SEED) DURATION=$(DURATION) go test -tags soak ./platform/ -count=1 -timeout 3h -v -run TestSoak,\
+	SEED=$(SEED) DURATION=$(DURATION) FLEET=$(FLEET) go test -tags soak ./internal/proof/prover/ -count=1 -timeout 3h -v -ginkgo.focus "soak keeps every invariant")
 
 bench: build ## routing policies side by side; FLEET=tinjau or guild
 	FLEET=$(FLEET) scripts/bench.sh
