--- a/internal/command/commander/commander.go
+++ b/internal/command/commander/commander.go
@@ -121,7 +121,8 @@
 }
 
 type frontCommand struct {
-	MetricsPort int `long:"metrics-port" default:"0" description:"port of the metrics; 0 for none"`
+	MetricsPort int    `long:"metrics-port" default:"0" description:"port of the metrics; 0 for none"`
+	LogLevel    string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of what is logged"`
 	release     string
 }
 
@@ -132,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	sv := &platform.Server{Settings: ss, Release: fr.release, MetricsPort: fr.MetricsPort}
+	sv := &platform.Server{Settings: ss, Release: fr.release, MetricsPort: fr.MetricsPort, LogLevel: level(fr.LogLevel)}
 	return sv.Run(context.Background())
 }
 
