refactor: one loop for duties that run at intervals

Eleven copies of a ticker, a select and an end were in duties, stand-ins and the server; pacer.Each is the one left. No change of what they do.

--- a/internal/command/server/server.go
+++ b/internal/command/server/server.go
@@ -176,21 +176,14 @@
 
 // runSnapshots appends a snapshot of the fleet state whenever one is due.
 func (se *Server) runSnapshots(ctx context.Context) error {
-	ti := time.NewTicker(time.Second)
-	defer ti.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case now := <-ti.C:
-			if rec, due := se.follower.Snapshot(now); due {
-				const offered = time.Minute
-				offer, cancel := context.WithTimeout(ctx, offered)
-				context.AfterFunc(offer, cancel)
-				se.writer.Put(offer, rec)
-			}
+	return pacer.Each(ctx, time.Second, func(now time.Time) {
+		if rec, due := se.follower.Snapshot(now); due {
+			const offered = time.Minute
+			offer, cancel := context.WithTimeout(ctx, offered)
+			context.AfterFunc(offer, cancel)
+			se.writer.Put(offer, rec)
 		}
-	}
+	})
 }
 
 func (se *Server) listen() (listeners, error) {
--- a/internal/duty/forwarder/ticket.go
+++ b/internal/duty/forwarder/ticket.go
@@ -6,6 +6,7 @@
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 )
 
 const (
@@ -76,20 +77,13 @@
 
 // runTickets renews tickets until ctx ends.
 func (fo *Forwarder) runTickets(ctx context.Context, tickets []ticket) {
-	tick := time.NewTicker(ticketRenew)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	_ = pacer.Each(ctx, ticketRenew, func(time.Time) { // ends with ctx only
 		for _, ti := range tickets {
 			if err := fo.reserve(ctx, ti); err != nil && ctx.Err() == nil {
 				fo.Log.Warn("ticket not renewed", "ticket", ti.id, "endpoint", ti.at.ID, "error", err)
 			}
 		}
-	}
+	})
 }
 
 // giveBack ends the tickets of a placement. It does not wait for the engines:
--- a/internal/duty/holder/holder.go
+++ b/internal/duty/holder/holder.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 )
 
 const (
@@ -94,16 +95,9 @@
 
 // Run tells owners which grants are still held, until ctx ends.
 func (ho *Holder) Run(ctx context.Context) error {
-	ti := time.NewTicker(keepInterval)
-	defer ti.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ti.C:
-			ho.keep()
-		}
-	}
+	return pacer.Each(ctx, keepInterval, func(time.Time) {
+		ho.keep()
+	})
 }
 
 // age returns the greatest age that a grant can have. It was given after this
--- a/internal/duty/owner/desk.go
+++ b/internal/duty/owner/desk.go
@@ -10,6 +10,7 @@
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/decision/granter"
+	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 	"github.com/mulberrylever/mulberrylever/internal/state/auditor"
 	"github.com/mulberrylever/mulberrylever/internal/state/mutator"
 )
@@ -51,21 +52,16 @@
 
 // run looks after the queue and the engine until ctx ends.
 func (de *desk) run(ctx context.Context) error {
-	ti := time.NewTicker(interval)
-	defer ti.Stop()
-	for {
-		now := time.Now()
-		if now.Sub(de.reportedAt()) >= reportInterval {
-			de.reconcile(ctx)
-		}
-		de.pump(time.Now())
-		de.warm(ctx, now)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ti.C:
-		}
+	de.step(ctx, time.Now())
+	return pacer.Each(ctx, interval, func(now time.Time) { de.step(ctx, now) })
+}
+
+func (de *desk) step(ctx context.Context, now time.Time) {
+	if now.Sub(de.reportedAt()) >= reportInterval {
+		de.reconcile(ctx)
 	}
+	de.pump(time.Now()) // to reconcile takes time
+	de.warm(ctx, now)
 }
 
 // list records what the platform's list says of the endpoint now.
--- a/internal/duty/owner/owner.go
+++ b/internal/duty/owner/owner.go
@@ -11,6 +11,7 @@
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/decision/granter"
+	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 	"github.com/mulberrylever/mulberrylever/internal/state/auditor"
 	"github.com/mulberrylever/mulberrylever/internal/state/keeper"
 )
@@ -44,16 +45,8 @@
 
 // Run opens and closes desks until ctx ends.
 func (ow *Owner) Run(ctx context.Context) error {
-	ti := time.NewTicker(interval)
-	defer ti.Stop()
-	for {
-		ow.adjust(ctx, time.Now())
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ti.C:
-		}
-	}
+	ow.adjust(ctx, time.Now())
+	return pacer.Each(ctx, interval, func(now time.Time) { ow.adjust(ctx, now) })
 }
 
 // adjust makes the desks match what this VM owns.
--- a/internal/duty/pacer/pacer.go
+++ b/internal/duty/pacer/pacer.go
@@ -15,3 +15,18 @@
 	case <-ti.C:
 	}
 }
+
+// Each calls step with the present time at each interval until ctx ends, and
+// returns why it ended. A step that takes longer than the interval delays the next.
+func Each(ctx context.Context, interval time.Duration, step func(now time.Time)) error {
+	ti := time.NewTicker(interval)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ti.C:
+			step(time.Now())
+		}
+	}
+}
--- /dev/null
+++ b/internal/duty/pacer/pacer_test.go
@@ -0,0 +1,27 @@
+package pacer_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
+)
+
+// TestEach checks that the step is called until the context ends, and why Each
+// returns then.
+func TestEach(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	calls := 0
+	err := pacer.Each(ctx, time.Millisecond, func(now time.Time) {
+		g.Expect(now).NotTo(gomega.BeZero())
+		if calls++; calls == 3 {
+			cancel()
+		}
+	})
+	g.Expect(err).To(gomega.MatchError(context.Canceled))
+	g.Expect(calls).To(gomega.BeNumerically("<=", 4)) // one more may have been due
+}
--- a/internal/duty/planner/planner.go
+++ b/internal/duty/planner/planner.go
@@ -18,6 +18,7 @@
 	"github.com/mulberrylever/mulberrylever/internal/decision/scaler"
 	"github.com/mulberrylever/mulberrylever/internal/duty/follower"
 	"github.com/mulberrylever/mulberrylever/internal/duty/holder"
+	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 	"github.com/mulberrylever/mulberrylever/internal/duty/writer"
 	"github.com/mulberrylever/mulberrylever/internal/setting/configurer"
 	"github.com/mulberrylever/mulberrylever/internal/state/folder"
@@ -67,18 +68,11 @@
 
 // Run plans until ctx ends.
 func (pl *Planner) Run(ctx context.Context) error {
-	ti := time.NewTicker(interval)
-	defer ti.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ti.C:
-			if pl.Keeper.View().Config.Power.Enabled {
-				pl.plan(ctx, time.Now())
-			}
+	return pacer.Each(ctx, interval, func(now time.Time) {
+		if pl.Keeper.View().Config.Power.Enabled {
+			pl.plan(ctx, now)
 		}
-	}
+	})
 }
 
 // plan gives the orders that are due. Only then it asks for the lease.
--- a/internal/duty/watcher/watcher.go
+++ b/internal/duty/watcher/watcher.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 	"github.com/mulberrylever/mulberrylever/internal/state/keeper"
 )
 
@@ -35,16 +36,8 @@
 
 // Run reads until ctx ends.
 func (wa *Watcher) Run(ctx context.Context) error {
-	ti := time.NewTicker(interval)
-	defer ti.Stop()
-	for {
-		wa.read(ctx)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ti.C:
-		}
-	}
+	wa.read(ctx)
+	return pacer.Each(ctx, interval, func(time.Time) { wa.read(ctx) })
 }
 
 func (wa *Watcher) read(ctx context.Context) {
--- a/internal/standin/batcher/report.go
+++ b/internal/standin/batcher/report.go
@@ -6,6 +6,7 @@
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 )
 
 // reportInterval is the time between two load reports.
@@ -20,22 +21,15 @@
 
 // loop records a load report at each interval.
 func (rr *reportRing) loop(ctx context.Context, sc *scheduler) error {
-	ti := time.NewTicker(reportInterval)
-	defer ti.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ti.C:
-			sc.mu.Lock()
-			lo := sc.load()
-			sc.mu.Unlock()
-			rr.mu.Lock()
-			rr.reports[rr.next%len(rr.reports)] = lo
-			rr.next++
-			rr.mu.Unlock()
-		}
-	}
+	return pacer.Each(ctx, reportInterval, func(time.Time) {
+		sc.mu.Lock()
+		lo := sc.load()
+		sc.mu.Unlock()
+		rr.mu.Lock()
+		rr.reports[rr.next%len(rr.reports)] = lo
+		rr.next++
+		rr.mu.Unlock()
+	})
 }
 
 // lagged returns the report made about lag ago, or the oldest one.
--- a/internal/standin/generator/client.go
+++ b/internal/standin/generator/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 	"github.com/mulberrylever/mulberrylever/internal/standin/answerer"
 )
 
@@ -109,18 +110,11 @@
 // for a while.
 func (ge *Generator) loopWatch(ctx context.Context, giveUp func(), target int, heard *atomic.Int64) error {
 	const interval, silence = 100 * time.Millisecond, 700 * time.Millisecond
-	ti := time.NewTicker(interval)
-	defer ti.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case now := <-ti.C:
-			if !ge.alive[target].Load() && now.UnixMilli()-heard.Load() > silence.Milliseconds() {
-				giveUp()
-			}
+	return pacer.Each(ctx, interval, func(now time.Time) {
+		if !ge.alive[target].Load() && now.UnixMilli()-heard.Load() > silence.Milliseconds() {
+			giveUp()
 		}
-	}
+	})
 }
 
 func setHeaders(rq *http.Request, ar arrival, left time.Duration) {
--- a/internal/standin/generator/generator.go
+++ b/internal/standin/generator/generator.go
@@ -13,6 +13,7 @@
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/adapter/requester"
+	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 )
 
 // Outcome tells what became of a request.
@@ -131,16 +132,9 @@
 // loopProbe asks the targets for their readiness, as a balancer does.
 func (ge *Generator) loopProbe(ctx context.Context) error {
 	const interval = 250 * time.Millisecond
-	ti := time.NewTicker(interval)
-	defer ti.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ti.C:
-			ge.probe(ctx)
-		}
-	}
+	return pacer.Each(ctx, interval, func(time.Time) {
+		ge.probe(ctx)
+	})
 }
 
 func (ge *Generator) probe(ctx context.Context) {
--- a/internal/standin/recorder/prober.go
+++ b/internal/standin/recorder/prober.go
@@ -9,6 +9,7 @@
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 	"github.com/mulberrylever/mulberrylever/internal/standin/fleetreader"
 )
 
@@ -36,16 +37,8 @@
 
 // loop probes all VMs, round after round.
 func (pr *prober) loop(ctx context.Context) error {
-	ti := time.NewTicker(probeInterval)
-	defer ti.Stop()
-	for {
-		pr.probe(ctx)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ti.C:
-		}
-	}
+	pr.probe(ctx)
+	return pacer.Each(ctx, probeInterval, func(time.Time) { pr.probe(ctx) })
 }
 
 func (pr *prober) probe(ctx context.Context) {
