--- a/internal/adapter/messenger/share_test.go
+++ b/internal/adapter/messenger/share_test.go
@@ -72,3 +72,19 @@
 		}
 	}
 }
+
+// BenchmarkNotify measures one message without an answer, both ends in one
+// process.
+func BenchmarkNotify(b *testing.B) {
+	address, _ := serve(b)
+	me := &messenger.Messenger{}
+	defer me.Close()
+	for b.Loop() {
+		if err := me.Notify(context.Background(), address, message()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	if _, err := me.Share(context.Background(), address, message()); err != nil { // all have been read
+		b.Fatal(err)
+	}
+}
