perf: an engine that can't be reached is told to the other entry VMs

Change: a failure to reach an engine is told like a failed request, which counts for half at the others. TestUnreachableIsTold failed before.

--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -175,6 +175,7 @@
 		return
 	case !en.arrived && en.err != nil:
 		fo.Detector.Note(now, pl.lead.ID, pl.lead.Incarnation, detector.Unreachable)
+		fo.Tracker.Failed(pl.lead.ID)
 	case en.notRun:
 		fo.Detector.Note(now, pl.lead.ID, pl.lead.Incarnation, detector.PeerFailed)
 	default:
--- a/internal/duty/forwarder/queue_test.go
+++ b/internal/duty/forwarder/queue_test.go
@@ -240,3 +240,25 @@
 		StepContext: 3 * time.Microsecond, ReadRate: 177_000, ReadPairs: 184 * time.Microsecond,
 	}
 }
+
+// unreachable is an endpoint that takes no connections.
+type unreachable struct{ mute }
+
+func (unreachable) Exchange(context.Context, ml.ListedEndpoint, *ml.Outgoing) (*ml.Answer, error) {
+	return nil, &ml.Error{Type: ml.ErrUnavailable, Step: "dial", NotRun: true, Err: io.ErrClosedPipe}
+}
+
+// TestUnreachableIsTold checks that one entry VM's finding that an engine can't be
+// reached is told to the others, which otherwise try it each by itself.
+func TestUnreachableIsTold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	fo := newForwarder(ctx, "vm", &atomic.Int64{})
+	fo.Exchanger = unreachable{}
+	rq := request(16)
+	rq.Deadline = time.Now().Add(300 * time.Millisecond)
+	fo.Forward(ctx, rq, noAnswer{})
+	sh, _ := fo.Tracker.Changes()
+	g.Expect(sh.Failed).To(gomega.ContainElement(ml.EndpointID("e")))
+}
