perf: where news is old, a request counts those ahead of it instead of placing them

Cause: each of 88 entry VMs placed all that waits at the others in thought, each 20 ms and at each message, with news some 60 ms old, older than the 30 ms for which a place is left to a peer; and each message that came made the sharer look for something to tell. Change: with news older than that, a request waits while as many that go before it wait elsewhere as there are places; only own changes wake the sharer. Ruled out: fewer engines to look at (a few microseconds each). TestCrowdedLeavesPlaces failed before.

--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -162,9 +162,13 @@
 	if len(items) == 0 {
 		return
 	}
+	flights := fo.Tracker.Flights(now)
+	if fo.lag() > believePeer {
+		fo.lookCrowded(now, items, flights)
+		return
+	}
 	items = append(items, fo.peersItems(now, items[0].rq)...)
 	sortItems(items, now)
-	flights := fo.Tracker.Flights(now)
 	unseen := fo.unseen(now, flights)
 	placeable := make(map[ml.FlightID]time.Time)
 	for _, it := range items {
@@ -185,21 +189,65 @@
 		case it.rq == nil:
 		case decided:
 			fo.deliver(it, ou)
-		case !it.told:
-			it.told = true
-			fo.Tracker.Wait(now, it.waiting())
-			fo.Told()
+		default:
+			fo.tellWaiting(now, it)
 		}
 	}
 	fo.placeable = placeable
 }
 
+// tellWaiting tells the other entry VMs once that a request waits.
+func (fo *Forwarder) tellWaiting(now time.Time, it *item) {
+	if it.told {
+		return
+	}
+	it.told = true
+	fo.Tracker.Wait(now, it.waiting())
+	fo.Told()
+}
+
+// lookCrowded decides on each waiting request where news of the others is too old
+// to foresee what they do: one goes ahead when fewer requests that go before it
+// wait elsewhere than there are places.
+func (fo *Forwarder) lookCrowded(now time.Time, items []*item, flights map[ml.EndpointID][]ml.Flight) {
+	all := append(fo.peersItems(now, items[0].rq), items...)
+	sortItems(all, now)
+	unseen := fo.unseen(now, flights)
+	ahead := 0
+	for _, it := range all {
+		if it.rq == nil {
+			ahead++
+			continue
+		}
+		it.ask.Unseen = unseen
+		listings := fo.Catalog.Usable(now, it.service)
+		it.held = ahead >= places(it, listings, flights)
+		if ou, decided := fo.decide(now, it, listings, flights); decided {
+			fo.deliver(it, ou)
+			continue
+		}
+		fo.tellWaiting(now, it)
+	}
+}
+
+// places returns how many requests the engines could still take.
+func places(it *item, listings []cataloger.Listing, flights map[ml.EndpointID][]ml.Flight) int {
+	n := 0
+	for _, li := range listings {
+		running := 0
+		for i := range flights[li.ID] {
+			if !flights[li.ID][i].Helper {
+				running++
+			}
+		}
+		n += max(it.ask.Figures.Slots-running, 0)
+	}
+	return n
+}
+
 // unseen returns how many prompts others have placed in the time that news of
 // them takes.
 func (fo *Forwarder) unseen(now time.Time, flights map[ml.EndpointID][]ml.Flight) float64 {
-	if fo.Lag == nil {
-		return 0
-	}
 	n := 0
 	for _, all := range flights {
 		for i := range all {
@@ -208,7 +256,14 @@
 			}
 		}
 	}
-	return float64(n) * fo.Lag().Seconds()
+	return float64(n) * fo.lag().Seconds()
+}
+
+func (fo *Forwarder) lag() time.Duration {
+	if fo.Lag == nil {
+		return 0
+	}
+	return fo.Lag()
 }
 
 // peersItems returns the requests that wait at other entry VMs for the service
@@ -253,7 +308,7 @@
 		return outcome{}, false
 	case ch.Lost:
 		return outcome{err: &lostError{why: "no engine can answer in time", retry: ch.Retry}}, true
-	case ch.Wait:
+	case ch.Wait, it.held:
 		return outcome{}, false
 	}
 	pl := &placement{
--- a/internal/duty/forwarder/queue.go
+++ b/internal/duty/forwarder/queue.go
@@ -23,6 +23,7 @@
 	urgency time.Time // latest moment at which engines could begin and be in time
 	order   int64     // of the urgency, as the entry VM of the request counts time
 	told    bool      // the other entry VMs know that it waits
+	held    bool      // others that go before it take the places there are
 	result  chan<- outcome
 }
 
--- a/internal/duty/forwarder/queue_test.go
+++ b/internal/duty/forwarder/queue_test.go
@@ -262,3 +262,27 @@
 	sh, _ := fo.Tracker.Changes()
 	g.Expect(sh.Failed).To(gomega.ContainElement(ml.EndpointID("e")))
 }
+
+// TestCrowdedLeavesPlaces checks that in a large fleet, where news is too old to
+// foresee what others do, a request leaves the places there are to those that
+// wait elsewhere and go before it.
+func TestCrowdedLeavesPlaces(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	sent := &atomic.Int64{}
+	fo := newForwarder(ctx, "vm", sent)
+	fo.Lag = func() time.Duration { return 2 * believePeer }
+	const places = 2
+	tell := func(waiting ...ml.SharedWaiting) {
+		fo.Tracker.Learn(time.Now(), ml.Shared{From: "other", Whole: true, Waiting: waiting})
+	}
+	first := ml.SharedWaiting{ID: "1", Service: "lm", Prompt: 1000, Answer: 100, FirstMs: 20_000, GiveUpMs: 40_000, GapMs: 1000, Worth: 1, Order: 1}
+	second := first
+	second.ID, second.Order = "2", 2
+	tell(first, second)
+	go fo.Forward(ctx, request(places), noAnswer{})
+	g.Consistently(sent.Load, "300ms", "5ms").Should(gomega.BeZero())
+	tell(second)
+	g.Eventually(sent.Load, "2s", "2ms").Should(gomega.Equal(int64(1)))
+}
--- a/internal/state/tracker/tracker.go
+++ b/internal/state/tracker/tracker.go
@@ -27,6 +27,9 @@
 	// Changed is called, without locks held, when an endpoint has been given
 	// something or has become freer; nil for nothing.
 	Changed func()
+	// OwnChanged is called too where it was this entry VM's doing, which others
+	// have to be told; nil for nothing.
+	OwnChanged func()
 
 	mu      sync.Mutex
 	own     map[ml.FlightID]*ml.Flight
@@ -55,7 +58,7 @@
 	tr.sent(now, fl.Endpoint)
 	tr.changes.Flights = append(tr.changes.Flights, encode(now, &fl))
 	tr.mu.Unlock()
-	tr.changed()
+	tr.ownChanged()
 }
 
 // Event records that an event of a flight's answer has come.
@@ -74,7 +77,7 @@
 	}
 	tr.mu.Unlock()
 	if first {
-		tr.changed()
+		tr.ownChanged()
 	}
 }
 
@@ -88,7 +91,7 @@
 	delete(tr.own, id)
 	tr.changes.Ended = append(tr.changes.Ended, id)
 	tr.mu.Unlock()
-	tr.changed()
+	tr.ownChanged()
 }
 
 // Wait records that a request of this entry VM waits.
@@ -276,6 +279,13 @@
 	return all
 }
 
+func (tr *Tracker) ownChanged() {
+	tr.changed()
+	if tr.OwnChanged != nil {
+		tr.OwnChanged()
+	}
+}
+
 func (tr *Tracker) changed() {
 	if tr.Changed != nil {
 		tr.Changed()
