perf: messages between entry VMs are packed once and compressed

Cause: the JSON-RPC library decodes parameters into maps and encodes them again before it hands them on: of 754 us for a message that passes on twenty, 600 on the receiver's side (profile), and it was encoded anew for each of 31 receivers. Change: a message is encoded once for all and sent as one string, compressed from 512 bytes on; its reader is bounded and fuzzed. BenchmarkBatch 754 to 138 us. Ruled out: one string without compression (535 us), another library (the house style names this one).

--- a/exchange.go
+++ b/exchange.go
@@ -131,12 +131,17 @@
 	Order    int64       `json:"o"`
 }
 
+// Packed is a Shared as it goes to other entry VMs.
+type Packed []byte
+
 // SharePeers reaches other entry VMs for what they share.
 type SharePeers interface {
+	// Pack encodes a message once for all who are told.
+	Pack(sh Shared) (Packed, error)
 	// Share tells a peer. The peer answers with how far it has read.
-	Share(ctx context.Context, address string, sh Shared) (ShareAck, error)
+	Share(ctx context.Context, address string, pa Packed) (ShareAck, error)
 	// Notify tells a peer without asking for an answer.
-	Notify(ctx context.Context, address string, sh Shared) error
+	Notify(ctx context.Context, address string, pa Packed) error
 	// Records asks a peer for the records that it has read after the offsets.
 	Records(ctx context.Context, address string, after map[TopicName]Offset) ([]KeyRecord, error)
 }
--- a/internal/adapter/messenger/messenger.go
+++ b/internal/adapter/messenger/messenger.go
@@ -79,15 +79,15 @@
 }
 
 // Share implements ml.SharePeers.
-func (me *Messenger) Share(ctx context.Context, address string, sh ml.Shared) (ml.ShareAck, error) {
+func (me *Messenger) Share(ctx context.Context, address string, pa ml.Packed) (ml.ShareAck, error) {
 	ack := ml.ShareAck{}
-	err := me.call(ctx, address, methodShare, sh, &ack)
+	err := me.call(ctx, address, methodShare, parcel{pa}, &ack)
 	return ack, err
 }
 
 // Notify implements ml.SharePeers.
-func (me *Messenger) Notify(ctx context.Context, address string, sh ml.Shared) error {
-	return me.notify(ctx, address, methodShare, sh)
+func (me *Messenger) Notify(ctx context.Context, address string, pa ml.Packed) error {
+	return me.notify(ctx, address, methodShare, parcel{pa})
 }
 
 // Records implements ml.SharePeers.
@@ -254,13 +254,7 @@
 func (ss *session) handleSharing(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
 	switch rq.Method {
 	case methodShare:
-		sh := ml.Shared{}
-		if !decode(ctx, conn, rq, &sh) {
-			return
-		}
-		if ack := ss.sharing.OnShare(sh); !rq.Notif {
-			_ = conn.Reply(ctx, rq.ID, ack)
-		}
+		ss.handleShare(ctx, conn, rq)
 	case methodRecords:
 		after := map[ml.TopicName]ml.Offset{}
 		if decode(ctx, conn, rq, &after) {
@@ -269,6 +263,21 @@
 	}
 }
 
+func (ss *session) handleShare(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
+	pa := parcel{}
+	if !decode(ctx, conn, rq, &pa) {
+		return
+	}
+	sh, err := Unpack(pa.Shared)
+	if err != nil {
+		_ = conn.ReplyWithError(ctx, rq.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()})
+		return
+	}
+	if ack := ss.sharing.OnShare(sh); !rq.Notif {
+		_ = conn.Reply(ctx, rq.ID, ack)
+	}
+}
+
 func (ss *session) handlePeer(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
 	switch rq.Method {
 	case methodHeartbeat:
--- a/internal/adapter/messenger/share_test.go
+++ b/internal/adapter/messenger/share_test.go
@@ -44,30 +44,61 @@
 	}
 }
 
+func packed(ms ml.Shared) ml.Packed {
+	pa, err := (&messenger.Messenger{}).Pack(ms)
+	if err != nil {
+		panic(err)
+	}
+	return pa
+}
+
 // TestShare checks that what is shared arrives whole, and its answers too.
 func TestShare(t *testing.T) {
 	g := gomega.NewWithT(t)
 	address, sh := serve(t)
 	me := &messenger.Messenger{}
 	defer me.Close()
-	ack, err := me.Share(context.Background(), address, message())
+	ack, err := me.Share(context.Background(), address, packed(message()))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(ack.Heads).To(gomega.HaveKeyWithValue(ml.TopicName("t"), ml.Offset(7)))
 	g.Expect(<-sh.got).To(gomega.Equal(message()))
 	records, err := me.Records(context.Background(), address, map[ml.TopicName]ml.Offset{"t": 3})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(records).To(gomega.Equal([]ml.KeyRecord{{Topic: "t", Key: "k", Value: []byte("v"), Offset: 3}}))
-	_, err = me.Share(context.Background(), "127.0.0.1:1", message())
+	_, err = me.Share(context.Background(), "127.0.0.1:1", packed(message()))
 	g.Expect(err).To(gomega.HaveOccurred())
 }
 
+// FuzzUnpack checks that whatever a peer sends is read without harm, and that
+// what was packed is what is unpacked.
+func FuzzUnpack(f *testing.F) {
+	long := message()
+	for range 10 {
+		long.Passed = append(long.Passed, message())
+	}
+	f.Add([]byte(packed(message())))
+	f.Add([]byte(packed(long)))
+	f.Add([]byte{1, 0xff})
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		got, err := messenger.Unpack(data)
+		if err != nil {
+			return
+		}
+		again, err := messenger.Unpack(packed(got))
+		if err != nil || len(again.Passed) != len(got.Passed) || again.From != got.From {
+			t.Fatalf("%+v became %+v, %v", got, again, err)
+		}
+	})
+}
+
 // BenchmarkShare measures one message and its answer, both ends in one process.
 func BenchmarkShare(b *testing.B) {
 	address, _ := serve(b)
 	me := &messenger.Messenger{}
 	defer me.Close()
 	for b.Loop() {
-		if _, err := me.Share(context.Background(), address, message()); err != nil {
+		if _, err := me.Share(context.Background(), address, packed(message())); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -80,11 +111,31 @@
 	me := &messenger.Messenger{}
 	defer me.Close()
 	for b.Loop() {
-		if err := me.Notify(context.Background(), address, message()); err != nil {
+		if err := me.Notify(context.Background(), address, packed(message())); err != nil {
+			b.Fatal(err)
+		}
+	}
+	if _, err := me.Share(context.Background(), address, packed(message())); err != nil { // all have been read
+		b.Fatal(err)
+	}
+}
+
+// BenchmarkBatch measures a message that passes on twenty others.
+func BenchmarkBatch(b *testing.B) {
+	address, _ := serve(b)
+	me := &messenger.Messenger{}
+	defer me.Close()
+	batch := ml.Shared{From: "vm", Address: "10.0.0.9:7340"}
+	for range 20 {
+		batch.Passed = append(batch.Passed, message())
+	}
+	pa := packed(batch)
+	for b.Loop() {
+		if err := me.Notify(context.Background(), address, pa); err != nil {
 			b.Fatal(err)
 		}
 	}
-	if _, err := me.Share(context.Background(), address, message()); err != nil { // all have been read
+	if _, err := me.Share(context.Background(), address, pa); err != nil { // all have been read
 		b.Fatal(err)
 	}
 }
--- a/internal/duty/sharer/member.go
+++ b/internal/duty/sharer/member.go
@@ -23,11 +23,26 @@
 	askEach = time.Second
 )
 
+// parcel is a message for one or many members.
+type parcel struct {
+	body ml.Packed
+	asks bool // the receiver has to answer
+}
+
+// pack packs a message. One that can't be packed is logged and not sent.
+func (sh *Sharer) pack(ms ml.Shared) parcel {
+	body, err := sh.Peers.Pack(ms)
+	if err != nil {
+		sh.Log.Error("message not packed", "error", err)
+	}
+	return parcel{body, len(ms.Known) > 0}
+}
+
 // member is another entry VM.
 type member struct {
 	address string
 	domain  ml.DomainID // empty until it was heard
-	ring    chan ml.Shared
+	ring    chan parcel
 	added   time.Time
 	heard   time.Time // when something of it came
 	leaving bool
@@ -49,7 +64,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	me := &member{address: address, ring: make(chan ml.Shared, ringSize), added: time.Now(), stop: cancel}
+	me := &member{address: address, ring: make(chan parcel, ringSize), added: time.Now(), stop: cancel}
 	sh.members[address] = me
 	go sh.runMember(ctx, me)
 }
@@ -97,10 +112,10 @@
 }
 
 // put adds a message to the ring and drops the oldest when it is full.
-func (me *member) put(ms ml.Shared) {
+func (me *member) put(pa parcel) {
 	for {
 		select {
-		case me.ring <- ms:
+		case me.ring <- pa:
 			return
 		default:
 		}
@@ -117,23 +132,26 @@
 		select {
 		case <-ctx.Done():
 			return
-		case ms := <-me.ring:
-			sh.send(ctx, time.Now(), me, ms)
+		case pa := <-me.ring:
+			sh.send(ctx, time.Now(), me, pa)
 		}
 	}
 }
 
 // send sends a message; it asks for an answer where the last one is a while ago,
 // or where the message itself asks for something.
-func (sh *Sharer) send(ctx context.Context, now time.Time, me *member, ms ml.Shared) {
+func (sh *Sharer) send(ctx context.Context, now time.Time, me *member, pa parcel) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if now.Sub(me.asked) < askEach && len(ms.Known) == 0 {
-		sh.reached(ctx, me, sh.Peers.Notify(call, me.address, ms))
+	if len(pa.body) == 0 {
+		return
+	}
+	if now.Sub(me.asked) < askEach && !pa.asks {
+		sh.reached(ctx, me, sh.Peers.Notify(call, me.address, pa.body))
 		return
 	}
 	me.asked = now
-	ack, err := sh.Peers.Share(call, me.address, ms)
+	ack, err := sh.Peers.Share(call, me.address, pa.body)
 	sh.reached(ctx, me, err)
 	if err == nil {
 		sh.addAll(ack.Known)
--- a/internal/duty/sharer/relay.go
+++ b/internal/duty/sharer/relay.go
@@ -157,17 +157,18 @@
 		}
 	}
 	sh.batch = nil
+	nearParcel, farParcel := sh.pack(near), sh.pack(far)
 	domains := map[ml.DomainID]bool{sh.Domain: true, "": true}
 	for _, me := range sh.members {
 		if me.domain == sh.Domain || me.domain == "" {
-			me.put(near)
+			me.put(nearParcel)
 		}
 		if domains[me.domain] || len(far.Passed) == 0 {
 			continue
 		}
 		domains[me.domain] = true
 		if re := sh.relay(now, me.domain); re != nil {
-			re.put(far)
+			re.put(farParcel)
 		}
 	}
 }
--- a/internal/duty/sharer/sharer.go
+++ b/internal/duty/sharer/sharer.go
@@ -142,13 +142,13 @@
 // greet tells one member, any, whom this entry VM knows and how far it has
 // read, and so learns the same of it: what messages have missed is made up for.
 func (sh *Sharer) greet(known []string) {
-	ms := sh.sign(ml.Shared{Known: known, Heads: sh.Catalog.Heads()})
+	pa := sh.pack(sh.sign(ml.Shared{Known: known, Heads: sh.Catalog.Heads()}))
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	skip := rand.IntN(max(len(sh.members), 1))
 	for _, me := range sh.members {
 		if skip == 0 {
-			me.put(ms)
+			me.put(pa)
 			return
 		}
 		skip--
@@ -167,14 +167,15 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	if !sh.large() {
+		pa := sh.pack(ms)
 		for _, me := range sh.members {
-			me.put(ms)
+			me.put(pa)
 		}
 		return
 	}
 	if re := sh.relay(now, sh.Domain); re != nil {
 		ms.PassOn = true
-		re.put(ms)
+		re.put(sh.pack(ms))
 		return
 	}
 	sh.pass(now, ms, false)
--- a/internal/duty/sharer/sharer_test.go
+++ b/internal/duty/sharer/sharer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -38,7 +39,18 @@
 	return ne.nodes[address], nil
 }
 
-func (ne *network) Share(_ context.Context, address string, ms ml.Shared) (ml.ShareAck, error) {
+func (ne *network) Pack(ms ml.Shared) (ml.Packed, error) { return json.Marshal(ms) }
+
+func unpacked(pa ml.Packed) ml.Shared {
+	ms := ml.Shared{}
+	if err := json.Unmarshal(pa, &ms); err != nil {
+		panic(err)
+	}
+	return ms
+}
+
+func (ne *network) Share(_ context.Context, address string, pa ml.Packed) (ml.ShareAck, error) {
+	ms := unpacked(pa)
 	ne.count(ms)
 	sh, err := ne.node(address)
 	if err != nil {
@@ -53,7 +65,8 @@
 	}
 }
 
-func (ne *network) Notify(_ context.Context, address string, ms ml.Shared) error {
+func (ne *network) Notify(_ context.Context, address string, pa ml.Packed) error {
+	ms := unpacked(pa)
 	ne.count(ms)
 	sh, err := ne.node(address)
 	if err == nil {
