--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -25,6 +25,9 @@
 	// freshCost is the loss that stands for taking an engine away from prompts
 	// that need one without answers of this kind, for as long as the answer.
 	freshCost = 0.7
+	// unseenHalf is the number of unseen prompts that halves this cost: what is
+	// gathered by all at once is too much for one engine.
+	unseenHalf = 2
 	// partCost is the loss that stands for each further engine of a group.
 	partCost = 0.04
 	// waitCost is the share of its worth that waiting costs when it takes all
