--- a/internal/command/explainer/explainer.go
+++ b/internal/command/explainer/explainer.go
@@ -40,6 +40,7 @@
 	First    int       `json:"firstMs"`
 	Took     int       `json:"ms"`
 	Pred     int       `json:"predictedMs"`
+	Retry    int       `json:"retryMs"`
 	Pause    int       `json:"pauseMs"`
 	Target   int       `json:"targetMs"`
 	PauseMax int       `json:"pauseTargetMs"`
@@ -143,6 +144,8 @@
 		}
 		return text + fmt.Sprintf(" after %d ms, of %d endpoints that could take it; first event predicted in %d ms, loss %.1f of %.1f",
 			ln.Waited, ln.Seen, ln.First, ln.Loss, ln.Worth)
+	case "not placed":
+		return fmt.Sprintf("not placed: %s; %d endpoints could take it, the best at a loss of %.1f; asked back after %d ms", ln.Reason, ln.Seen, ln.Loss, ln.Retry)
 	case "first event":
 		return fmt.Sprintf("first event from %s after %d ms, %d were predicted", ln.Endpoint, ln.Took, ln.Pred)
 	case "again":
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -143,6 +143,7 @@
 func (fo *Forwarder) once(ctx context.Context, rq *Request, rs ml.Responder) end {
 	pl, err := fo.place(ctx, rq)
 	if err != nil {
+		fo.logNotPlaced(rq, err)
 		return end{notRun: true, reason: err.Error(), err: err}
 	}
 	defer fo.leave(pl)
@@ -165,6 +166,16 @@
 	return en
 }
 
+// logNotPlaced tells why a request has no place.
+func (fo *Forwarder) logNotPlaced(rq *Request, err error) {
+	var lost *lostError
+	if !errors.As(err, &lost) {
+		return // its caller has left
+	}
+	fo.Log.Info("not placed", "request", rq.Out.Attempt, "reason", lost.why, "seen", lost.seen, "loss", lost.loss,
+		"retryMs", lost.retry.Milliseconds(), "prompt", rq.Prompt)
+}
+
 // note tells the detector how an attempt went.
 func (fo *Forwarder) note(ctx context.Context, rq *Request, pl *placement, en end) {
 	now := time.Now()
--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -30,6 +30,8 @@
 type lostError struct {
 	why   string
 	retry time.Duration
+	seen  int     // endpoints that could take it
+	loss  float64 // that the best of them would cost; 0 when none was found
 }
 
 // Error implements the error interface.
@@ -307,7 +309,7 @@
 	case ch.Lost && ch.Seen == 0 && now.Sub(it.since) < it.rq.Route.Target/holdShare:
 		return outcome{}, false
 	case ch.Lost:
-		return outcome{err: &lostError{why: "no engine can answer in time", retry: ch.Retry}}, true
+		return outcome{err: &lostError{why: "no engine can answer in time", retry: ch.Retry, seen: ch.Seen, loss: ch.Loss}}, true
 	case ch.Wait, it.held:
 		return outcome{}, false
 	}
