--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -4,7 +4,6 @@
 package placer
 
 import (
-	"math"
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
@@ -50,8 +49,8 @@
 	sparePlaces = 1
 	// lostShare is the share of its worth from which a prompt counts as lost.
 	lostShare = 0.9
-	// certain and likely bound the ratio of a pause to its objective between
-	// which keeping the objective turns from certain to unlikely.
+	// likely and unlikely bound the ratio of a pause to its objective between
+	// which keeping the objective turns from certain to out of reach.
 	likely, unlikely = 0.8, 1.15
 	// missEven is the likelihood that a first event is later than predicted, and
 	// missFalls the power by which it falls with the ratio of the time that is
@@ -60,16 +59,6 @@
 	// slackShare is the part of the predicted time that is kept in hand when
 	// requests are put in order.
 	slackShare = 0.15
-	// retryLeast and retryMost bound the time after which a caller is asked to
-	// come again.
-	retryLeast, retryMost = 100 * time.Millisecond, 5 * time.Second
-	// retryBusy is the same for one that could be served, but only late and at
-	// the cost of others: not before engines have had time to become free.
-	retryBusy = 4 * time.Second
-	// idleLeast is the least share of engines that is taken to be idle when time
-	// to spare is reckoned, and spareMost the longest such time.
-	idleLeast = 0.05
-	spareMost = 30 * time.Second
 )
 
 // Request is a prompt to be placed.
@@ -213,66 +202,3 @@
 	}
 	return best
 }
-
-// retry returns when the caller of a prompt that is lost should come again.
-func (ch *chooser) retry(best Choice) time.Duration {
-	if best.Lead >= 0 && best.First.Before(ch.rq.GiveUp) {
-		return max(retryBusy, ch.spare())
-	}
-	return max(min(max(ch.soonest(best).Sub(ch.rq.GiveUp), retryLeast), retryMost), ch.spare())
-}
-
-// spare returns the time within which the engines, as busy as they are, have as
-// much time to spare as the prompt takes.
-func (ch *chooser) spare() time.Duration {
-	whole := forecaster.Reading(ch.rq.Figures, ch.rq.Prompt, 1)
-	idle := max(1-ch.busy(), idleLeast) * float64(max(len(ch.states), 1))
-	return min(time.Duration(float64(whole)/idle), spareMost)
-}
-
-// soonest returns when a prompt that is lost now could have its first event: as
-// predicted, or when the first engine is free of what it reads.
-func (ch *chooser) soonest(best Choice) time.Time {
-	if best.Lead >= 0 {
-		return best.First
-	}
-	free := ch.rq.GiveUp.Add(retryLeast)
-	for i := range ch.states {
-		if at := ch.states[i].engine.Free; i == 0 || at.Before(free) {
-			free = at
-		}
-	}
-	return free
-}
-
-// selfLoss returns what the caller loses when its first event comes at first.
-func (ch *chooser) selfLoss(first time.Time) float64 {
-	late := ch.missed(first, ch.rq.FirstBy)
-	lost := ch.missed(first, ch.rq.GiveUp)
-	return ch.rq.Worth * (lateLoss*late + (1-lateLoss)*lost)
-}
-
-// missed returns how likely a first event that is predicted for first comes
-// after at: what takes long may take longer still.
-func (ch *chooser) missed(first, at time.Time) float64 {
-	predicted, left := first.Sub(ch.now), at.Sub(ch.now)
-	if left <= 0 {
-		return 1
-	}
-	return min(missEven*math.Pow(float64(left)/float64(max(predicted, 1)), -missFalls), 1)
-}
-
-// waitLoss returns the risk of waiting until start: less is left for what can't
-// be predicted.
-func (ch *chooser) waitLoss(start time.Time) float64 {
-	left := ch.rq.FirstBy.Sub(ch.now)
-	if left <= 0 {
-		return 0
-	}
-	return waitCost * ch.rq.Worth * min(float64(start.Sub(ch.now))/float64(left), 1)
-}
-
-// ramp rises from 0 at low to 1 at high.
-func ramp(x, low, high float64) float64 {
-	return min(max((x-low)/(high-low), 0), 1)
-}
