fix: news of the store goes to all of a failure domain directly

Change: messages with records also go to each member of the domain directly; they are few. Ruled out: two that pass on everything, twice the messages.

--- a/internal/duty/sharer/sharer.go
+++ b/internal/duty/sharer/sharer.go
@@ -173,6 +173,9 @@
 		}
 		return
 	}
+	if len(ms.Records) > 0 {
+		sh.tellNear(ms)
+	}
 	if re := sh.relay(now, sh.Domain); re != nil {
 		ms.PassOn = true
 		re.put(sh.pack(ms))
@@ -181,6 +184,18 @@
 	sh.pass(now, ms, false)
 }
 
+// tellNear tells all members of the own failure domain directly: news of the
+// store must not wait for one that passes messages on and may be frozen. It needs
+// the lock.
+func (sh *Sharer) tellNear(ms ml.Shared) {
+	pa := sh.pack(sh.sign(ml.Shared{Records: ms.Records}))
+	for _, me := range sh.members {
+		if me.domain == sh.Domain {
+			me.put(pa)
+		}
+	}
+}
+
 // OnShare implements ml.ShareHandler.
 func (sh *Sharer) OnShare(ms ml.Shared) ml.ShareAck {
 	now := time.Now()
--- a/internal/duty/sharer/sharer_test.go
+++ b/internal/duty/sharer/sharer_test.go
@@ -26,6 +26,7 @@
 	nodes  map[string]*sharer.Sharer
 	killed map[string]bool
 	told   atomic.Int64 // messages with changes, but for those passed on
+	news   atomic.Int64 // messages with records, but for those passed on
 }
 
 var errKilled = errors.New("connection refused")
@@ -63,6 +64,9 @@
 	if len(ms.Flights) > 0 && !ms.Whole {
 		ne.told.Add(1)
 	}
+	if len(ms.Records) > 0 {
+		ne.news.Add(1)
+	}
 }
 
 func (ne *network) Notify(_ context.Context, address string, pa ml.Packed) error {
@@ -96,7 +100,7 @@
 		sh := sharer.New()
 		sh.Self, sh.Address = ml.VMID(fmt.Sprintf("vm%02d", i)), fmt.Sprintf("10.0.0.%02d", i)
 		sh.Domain, sh.Seeds = ml.DomainID(fmt.Sprint("d", i%2)), []string{"10.0.0.00", "10.0.0.01"}
-		sh.Peers, sh.Tracker, sh.Catalog = fl.ne, &tracker.Tracker{OwnChanged: sh.Signal}, &cataloger.Cataloger{}
+		sh.Peers, sh.Tracker, sh.Catalog = fl.ne, &tracker.Tracker{OwnChanged: sh.Signal}, &cataloger.Cataloger{Decoder: nothing{}, Log: slog.New(slog.DiscardHandler)}
 		sh.Detector, sh.Log, sh.Leaving = &detector.Detector{}, slog.New(slog.DiscardHandler), func() bool { return false }
 		fl.ne.nodes[sh.Address] = sh
 		fl.nodes = append(fl.nodes, sh)
@@ -181,9 +185,22 @@
 	g.Expect(fl.ne.told.Load()-before).To(gomega.BeNumerically("<=", rounds*flights), "one message for each change")
 
 	g.Eventually(fl.readers).WithTimeout(patience).Should(gomega.Equal(4), "two of each failure domain wait at the store")
+	fl.nodes[5].Publish([]ml.KeyRecord{{Topic: "t", Key: "k", Offset: 1}})
+	g.Eventually(fl.ne.news.Load).WithTimeout(patience).Should(gomega.BeNumerically(">=", n/2-1), "news of the store goes to all of the domain directly")
 	fl.kill(0)
 	fl.kill(1)
 	fl.nodes[n-1].Tracker.Add(time.Now(), ml.Flight{ID: "late", Endpoint: "late", Sent: time.Now()})
 	g.Eventually(func() int { return fl.knowing("late") }).WithTimeout(patience).Should(gomega.BeNumerically(">=", n-2))
 	g.Eventually(func() int { return fl.leastHeard(2) }).WithTimeout(patience).Should(gomega.Equal(n - 3))
 }
+
+// nothing reads no record.
+type nothing struct{}
+
+func (nothing) Config(ml.KeyRecord) (ml.ServingConfig, bool, error) {
+	return ml.ServingConfig{}, false, nil
+}
+func (nothing) Domain(ml.KeyRecord) (ml.DomainID, bool) { return "", false }
+func (nothing) Endpoint(ml.KeyRecord) (ml.ListedEndpoint, bool, error) {
+	return ml.ListedEndpoint{}, false, nil
+}
