fix: a cold engine's rate keeps room for what is not seen yet

Cause: each entry VM counts what it knows all have sent to an engine within a second. Change: the limit is lower by the prompts that others place while news is on its way, down to a third of the rate, so that a fleet whose engines are all cold is served. In a small fleet, where news takes 4 ms, nothing changes. Ruled out: a share of the rate for each entry VM (15 a second for 88). TestColdLeavesRoomForUnseen failed before.

--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -239,7 +239,7 @@
 	candidates := make([]placer.Candidate, 0, len(listings))
 	for _, li := range listings {
 		ca := fo.candidate(now, li, flights[li.ID])
-		ca.Closed = ca.Closed || it.rq != nil && (fo.full(now, it.rq, li) || slices.Contains(it.rq.seen, li.ID))
+		ca.Closed = ca.Closed || it.rq != nil && (fo.full(now, it.rq, li, it.ask.Unseen) || slices.Contains(it.rq.seen, li.ID))
 		candidates = append(candidates, ca)
 	}
 	ch := placer.Choose(now, &it.ask, candidates)
@@ -276,9 +276,16 @@
 	return ca
 }
 
-// full tells whether an endpoint that may be cold has had what it can carry.
-func (fo *Forwarder) full(now time.Time, rq *Request, li cataloger.Listing) bool {
-	return rq.Spec != nil && rq.Spec.ColdRate > 0 && float64(fo.Tracker.Recent(now, li.ID)) >= rq.Spec.ColdRate
+// full tells whether an endpoint that may be cold has had what it can carry, with
+// room for what others have sent it that is not seen yet. A part of its rate is
+// always used, so that a fleet whose engines are all cold is served.
+func (fo *Forwarder) full(now time.Time, rq *Request, li cataloger.Listing, unseen float64) bool {
+	const always = 1.0 / 3
+	if rq.Spec == nil || rq.Spec.ColdRate <= 0 {
+		return false
+	}
+	limit := max(rq.Spec.ColdRate-unseen, always*rq.Spec.ColdRate)
+	return float64(fo.Tracker.Recent(now, li.ID)) >= limit
 }
 
 // take records the flights of a placement.
--- a/internal/duty/forwarder/queue_test.go
+++ b/internal/duty/forwarder/queue_test.go
@@ -286,3 +286,21 @@
 	tell(second)
 	g.Eventually(sent.Load, "2s", "2ms").Should(gomega.Equal(int64(1)))
 }
+
+// TestColdLeavesRoomForUnseen checks that the rate of an engine that may be cold
+// is not used up by what this entry VM knows of, where much is not seen yet.
+func TestColdLeavesRoomForUnseen(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	fo := &Forwarder{Tracker: &tracker.Tracker{}}
+	rq := request(16)
+	rq.Spec.ColdRate = 15
+	li := cataloger.Listing{ListedEndpoint: ml.ListedEndpoint{Endpoint: ml.Endpoint{ID: "e"}}}
+	g.Expect(fo.full(now, rq, li, 100)).To(gomega.BeFalse(), "some go there all the same")
+	for i := range 6 {
+		fo.Tracker.Add(now, ml.Flight{ID: ml.FlightID(fmt.Sprint(i)), Endpoint: "e", Sent: now})
+	}
+	g.Expect(fo.full(now, rq, li, 0)).To(gomega.BeFalse())
+	g.Expect(fo.full(now, rq, li, 5)).To(gomega.BeFalse())
+	g.Expect(fo.full(now, rq, li, 12)).To(gomega.BeTrue())
+}
--- a/internal/duty/forwarder/service.go
+++ b/internal/duty/forwarder/service.go
@@ -33,10 +33,11 @@
 
 func (fo *Forwarder) chooseService(now time.Time, rq *Request) *placement {
 	flights := fo.Tracker.Flights(now)
+	unseen := fo.unseen(now, flights)
 	candidates := []placer.ServiceCandidate{}
 	for _, li := range fo.Catalog.Usable(now, rq.Service) {
 		ca := fo.candidate(now, li, flights[li.ID])
-		ca.Closed = ca.Closed || fo.full(now, rq, li) || slices.Contains(rq.seen, li.ID)
+		ca.Closed = ca.Closed || fo.full(now, rq, li, unseen) || slices.Contains(rq.seen, li.ID)
 		candidates = append(candidates, placer.ServiceCandidate{
 			Endpoint: ca.Endpoint, Running: len(ca.Flights), Failing: ca.Failing, Closed: ca.Closed,
 		})
