--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -155,7 +155,8 @@
 		return attemptResult{notRun: true, reason: "left before the send"}
 	}
 	fo.Log.Info("placed", "request", rq.Outgoing.Attempt, "endpoint", pl.lead.ID, "helpers", pl.helperIDs(), "waitedMs", pl.waited.Milliseconds(),
-		"firstMs", pl.predictedFirstEvent.Milliseconds(), "loss", pl.loss, "worth", pl.value, "seen", pl.usable, "prompt", rq.Prompt)
+		"firstMs", pl.predictedFirstEvent.Milliseconds(), "loss", pl.loss, "worth", pl.value, "seen", pl.usable, "prompt", rq.Prompt,
+		"recentSends", pl.recentSends, "cold", pl.cold)
 	fo.Metrics.Placed(rq, pl.waited)
 	ar := fo.attempt(ctx, rq, rs, pl)
 	if ar.received {
--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -49,6 +49,8 @@
 	loss                float64
 	value               float64
 	usable              int       // endpoints that could take the request
+	recentSends         int       // requests known to have been sent to the lead in the last second
+	cold                bool      // the lead was known to be cold
 	helperMemory        ml.Tokens // memory needed at each helper; 0 if the lead holds the whole prompt
 	holds               []memoryHold
 
@@ -261,8 +263,9 @@
 	}
 	pl := &placement{
 		lead: candidates[ch.Lead].Endpoint, waited: now.Sub(it.waitingSince), predictedFirstEvent: ch.FirstEventAt.Sub(now),
-		loss: ch.Loss, value: it.placerReq.Value, usable: ch.Available,
+		loss: ch.Loss, value: it.placerReq.Value, usable: ch.Available, cold: listings[ch.Lead].ColdUntil.After(now),
 	}
+	pl.recentSends = fo.Tracker.RecentSends(now, pl.lead.ID)
 	pl.helperMemory = ch.HelperMemory
 	for _, i := range ch.Helpers {
 		pl.helpers = append(pl.helpers, candidates[i].Endpoint)
--- a/internal/duty/sharer/member.go
+++ b/internal/duty/sharer/member.go
@@ -115,7 +115,7 @@
 }
 
 // enqueue adds a message to the send queue and drops the oldest if it is full.
-func (me *member) enqueue(om outgoingMessage) {
+func (sh *Sharer) enqueue(me *member, om outgoingMessage) {
 	for {
 		select {
 		case me.sendQueue <- om:
@@ -124,11 +124,16 @@
 		}
 		select {
 		case <-me.sendQueue:
+			sh.messagesDropped.Add(1)
 		default:
 		}
 	}
 }
 
+// MessagesDropped returns the number of messages that were not sent because the
+// queue of a member was full.
+func (sh *Sharer) MessagesDropped() int64 { return sh.messagesDropped.Load() }
+
 // runMember sends the messages in one member's send queue until ctx ends.
 func (sh *Sharer) runMember(ctx context.Context, me *member) {
 	for {
--- a/internal/duty/sharer/relay.go
+++ b/internal/duty/sharer/relay.go
@@ -165,14 +165,14 @@
 	domains := map[ml.DomainID]bool{sh.Domain: true, "": true}
 	for _, me := range sh.members {
 		if me.domain == sh.Domain || me.domain == "" {
-			me.enqueue(localMessage)
+			sh.enqueue(me, localMessage)
 		}
 		if domains[me.domain] || len(remote.Relayed) == 0 {
 			continue
 		}
 		domains[me.domain] = true
 		if re := sh.findRelay(now, me.domain); re != nil {
-			re.enqueue(remoteMessage)
+			sh.enqueue(re, remoteMessage)
 		}
 	}
 }
--- a/internal/duty/sharer/sharer.go
+++ b/internal/duty/sharer/sharer.go
@@ -58,6 +58,8 @@
 	batch         []batchedMessage
 	periodicCount int         // periodic messages built so far; used by Run only
 	fetching      atomic.Bool // records are being fetched from a member
+
+	messagesDropped atomic.Int64
 }
 
 // New returns a sharer. Signal may be called before Run.
@@ -153,7 +155,7 @@
 	skip := rand.IntN(max(len(sh.members), 1))
 	for _, me := range sh.members {
 		if skip == 0 {
-			me.enqueue(om)
+			sh.enqueue(me, om)
 			return
 		}
 		skip--
@@ -174,7 +176,7 @@
 	if !sh.usesRelays() {
 		om := sh.encode(sm)
 		for _, me := range sh.members {
-			me.enqueue(om)
+			sh.enqueue(me, om)
 		}
 		return
 	}
@@ -183,7 +185,7 @@
 	}
 	if re := sh.findRelay(now, sh.Domain); re != nil {
 		sm.Relay = true
-		re.enqueue(sh.encode(sm))
+		sh.enqueue(re, sh.encode(sm))
 		return
 	}
 	sh.addToBatch(now, sm, false)
@@ -196,7 +198,7 @@
 	om := sh.encode(sh.withSender(ml.ShareMessage{Records: sm.Records}))
 	for _, me := range sh.members {
 		if me.domain == sh.Domain {
-			me.enqueue(om)
+			sh.enqueue(me, om)
 		}
 	}
 }
