fix: divide a cold engine's rate among the entry VMs

Cause: the limit of a cold engine holds for the sum over all entry VMs, and each kept it by itself, from news of the others' requests. When an engine appears that is empty in a full fleet, the requests that wait at all 88 entry VMs are released by the same event, before any news can pass, and each entry VM always allowed itself a third of the rate.

Change: decision/divider gives each entry VM a share of each engine's limit. It follows from the failure domains and the members of the own domain alone (rendezvous hashing), so that the sum over entry VMs keeps the limit however old news is. A request takes a place of the share from its placement until a second after it was written, whatever dials and holds of memory take. Of an engine known to be cold the rate that it sustains is divided, and a process that has just started, or was frozen, takes none of it for 3 s; of any other the most that a cold one may get, since one can become cold before its record says so. What entry VMs know of each other still lowers the limit.

--- a/exchange.go
+++ b/exchange.go
@@ -21,6 +21,7 @@
 	Priority    Priority
 	LastEventID EventID // the stream resumes after this event; 0 to start at the beginning
 	Helpers     []Helper
+	OnSent      func() // called when the whole request has been written; may be nil
 }
 
 // Answer is an endpoint's response. The caller must call Close.
--- a/internal/adapter/exchanger/conn.go
+++ b/internal/adapter/exchanger/conn.go
@@ -78,12 +78,15 @@
 
 // writeRequest writes a request. It runs concurrently with the reading, since an
 // endpoint may answer before it has read a long body.
-func (co *conn) writeRequest(rq *http.Request, done chan<- error) {
+func (co *conn) writeRequest(rq *http.Request, onSent func(), done chan<- error) {
 	out := bufio.NewWriterSize(co, bufferBytes)
 	err := rq.Write(out)
 	if err == nil {
 		err = out.Flush()
 	}
+	if err == nil && onSent != nil {
+		onSent()
+	}
 	done <- err
 }
 
--- a/internal/adapter/exchanger/exchanger.go
+++ b/internal/adapter/exchanger/exchanger.go
@@ -44,6 +44,7 @@
 	Header http.Header
 	Body   []byte
 	Match  func(http.Header) bool // reports whether an answer belongs to this request
+	OnSent func()                 // called when the whole request has been written; may be nil
 }
 
 // Exchanger sends requests and pools connections. The zero value is ready to use.
@@ -72,7 +73,7 @@
 	}
 	stop := co.interruptOn(ctx)
 	writeDone := make(chan error, 1)
-	go co.writeRequest(hr, writeDone)
+	go co.writeRequest(hr, rq.OnSent, writeDone)
 	rs, err := co.readAnswer(hr, rq.Match) //nolint:bodyclose // closed with the connection or by the answer's Close
 	if err != nil {
 		stop()
--- /dev/null
+++ b/internal/decision/divider/divider.go
@@ -0,0 +1,108 @@
+// Package divider divides a rate limit that holds for the whole fleet among its entry
+// VMs. The shares follow from who the members are, and from nothing that happens
+// between them, so that their sum keeps the limit however late members hear of each
+// other's requests.
+//
+// A limit is divided among the failure domains first, which is the same at all entry
+// VMs, and within a domain among its entry VMs. If there are fewer requests than entry
+// VMs, some get one and the others none; which ones differs between endpoints. An
+// entry VM that knows a member too many takes less than its share, never more.
+package divider
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	ml "github.com/mulberrylever/mulberrylever"
+)
+
+// Divider computes the shares of one entry VM. It is safe for concurrent use.
+type Divider struct {
+	// Domain is the failure domain of this entry VM, Domains are all of the fleet.
+	Domain  ml.DomainID
+	Domains []ml.DomainID
+
+	mu    sync.Mutex
+	view  ml.Membership
+	self  uint64
+	peers []uint64 // hashes of view.Peers
+	ranks map[ml.EndpointID]rank
+}
+
+// rank is the place of this entry VM in the order that an endpoint gives to the
+// failure domains, and within them to the entry VMs.
+type rank struct {
+	domain, member int
+}
+
+// Share returns how many of limit requests this entry VM may send to an endpoint.
+func (di *Divider) Share(view ml.Membership, id ml.EndpointID, limit int) int {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	di.setView(view)
+	ra, known := di.ranks[id]
+	if !known {
+		ra = di.rank(id)
+		di.ranks[id] = ra
+	}
+	ofDomain := part(limit, len(di.Domains), ra.domain)
+	return part(ofDomain, 1+len(di.peers), ra.member)
+}
+
+// part returns the part of the one at a rank when n are divided among parts. Those
+// that rank first get what remains.
+func part(n, parts, rank int) int {
+	if parts <= 1 {
+		return n
+	}
+	share := n / parts
+	if rank < n%parts {
+		share++
+	}
+	return share
+}
+
+// setView drops what was computed for another view.
+func (di *Divider) setView(view ml.Membership) {
+	if di.ranks != nil && di.view.Version == view.Version {
+		return
+	}
+	di.view, di.self = view, xxhash.Sum64String(view.Self)
+	di.peers = make([]uint64, len(view.Peers))
+	for i, address := range view.Peers {
+		di.peers[i] = xxhash.Sum64String(address)
+	}
+	di.ranks = make(map[ml.EndpointID]rank)
+}
+
+func (di *Divider) rank(id ml.EndpointID) rank {
+	endpoint := xxhash.Sum64String(string(id))
+	domains := make([]uint64, len(di.Domains))
+	for i, do := range di.Domains {
+		domains[i] = xxhash.Sum64String(string(do))
+	}
+	own := xxhash.Sum64String(string(di.Domain))
+	return rank{domain: countBefore(endpoint, own, domains), member: countBefore(endpoint, di.self, di.peers)}
+}
+
+// countBefore returns how many of the others come before self in the order that an
+// endpoint gives to them (rendezvous hashing).
+func countBefore(endpoint, self uint64, others []uint64) int {
+	weight := mix(endpoint, self)
+	n := 0
+	for _, other := range others {
+		if mix(endpoint, other) > weight {
+			n++
+		}
+	}
+	return n
+}
+
+// mix combines two hashes (the finalizer of SplitMix64).
+func mix(a, b uint64) uint64 {
+	x := a ^ b*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/internal/duty/forwarder/attempt.go
+++ b/internal/duty/forwarder/attempt.go
@@ -49,13 +49,18 @@
 	wd := fo.startWatchdog(ctx, rq, pl, cancel)
 	defer wd.Stop()
 	out := rq.outgoing(pl)
+	out.OnSent = func() { fo.Tracker.RecordSent(time.Now(), pl.flights[0]) }
 	sent := time.Now()
 	an, err := fo.Exchanger.Exchange(ctx, pl.lead, out)
 	if err != nil {
 		er := ml.AsError("exchange", err)
+		if !er.NotRun {
+			out.OnSent() // the endpoint may have received a part of it
+		}
 		return attemptResult{notRun: er.NotRun, received: !er.NotRun, reason: failureReason(ctx, er), err: err}
 	}
 	defer an.Close()
+	out.OnSent() // it may answer before all is written
 	switch {
 	case an.Misdirected:
 		fo.Catalog.MarkAddressReused(pl.lead.ID, pl.lead.Incarnation)
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/decision/budgeter"
 	"github.com/mulberrylever/mulberrylever/internal/decision/detector"
+	"github.com/mulberrylever/mulberrylever/internal/decision/divider"
 	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
 	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
 )
@@ -71,6 +72,14 @@
 	// PropagationDelay returns the mean delay of updates between entry VMs. Nil means none.
 	PropagationDelay func() time.Duration
 
+	// Membership returns the view of the entry VMs among which Divider divides the
+	// rates of cold endpoints. Nil means that there are no others.
+	Membership func(now time.Time) ml.Membership
+	Divider    *divider.Divider
+	// ColdOverage times the rate that a cold endpoint sustains, and ColdSlack more, is
+	// the most that it may receive in one second.
+	ColdOverage, ColdSlack float64
+
 	// RetryPerCent bounds the retries of this entry VM as a share of its
 	// requests, RetryBurst those beyond that share.
 	RetryPerCent float64
--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -285,19 +285,6 @@
 	return ca
 }
 
-// coldRateReached reports whether an endpoint that may be cold has received as many
-// requests in the last second as a cold one can serve. The limit is lowered by the
-// unseen requests of other entry VMs, but never below a third of the rate, so that
-// a fleet in which all engines are cold still serves requests.
-func (fo *Forwarder) coldRateReached(now time.Time, rq *Request, li cataloger.Listing, unseen float64) bool {
-	const minShare = 1.0 / 3
-	if rq.Spec == nil || rq.Spec.ColdRate <= 0 {
-		return false
-	}
-	limit := max(rq.Spec.ColdRate-unseen, minShare*rq.Spec.ColdRate)
-	return float64(fo.Tracker.RecentSends(now, li.ID)) >= limit
-}
-
 // recordFlights adds the flights of a placement to flights and, for a request of
 // this entry VM, to the tracker.
 func (fo *Forwarder) recordFlights(now time.Time, it *item, pl *placement, flights map[ml.EndpointID][]ml.Flight) {
--- a/internal/duty/sharer/member.go
+++ b/internal/duty/sharer/member.go
@@ -18,6 +18,12 @@
 	memberTimeout = 20 * time.Second
 	// memberRetryDelay is the wait after a message could not be sent to a member.
 	memberRetryDelay = time.Second
+	// settleTime is how long an entry VM is in touch before it counts on its view of
+	// the membership: several periodic messages of all members.
+	settleTime = 3 * time.Second
+	// maxTickPause is the time between two periodic messages from which the process
+	// counts as having been frozen.
+	maxTickPause = 5 * time.Second
 	// ackInterval is the time between two messages that a member must
 	// acknowledge. It bounds how long a connection that lost its peer without
 	// an error goes unnoticed.
@@ -69,6 +75,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	me := &member{address: address, sendQueue: make(chan outgoingMessage, sendQueueSize), addedAt: time.Now(), stop: cancel}
 	sh.members[address] = me
+	sh.membersVersion++
 	go sh.runMember(ctx, me)
 }
 
@@ -83,6 +90,9 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	if me := sh.members[sm.Address]; me != nil {
+		if me.domain != sm.Domain {
+			sh.membersVersion++
+		}
 		me.lastHeard, me.domain, me.cores, me.leaving = now, sm.Domain, sm.Cores, sm.Leaving
 	}
 }
@@ -101,6 +111,36 @@
 	return out
 }
 
+// Membership returns this entry VM's view of its failure domain. A member counts until
+// it has not been heard for memberTimeout, so that one that is only cut off or frozen
+// keeps its share of each limit.
+func (sh *Sharer) Membership(now time.Time) ml.Membership {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.membership.Version != sh.membersVersion || sh.membership.Self == "" {
+		sh.membership = ml.Membership{Version: sh.membersVersion, Self: sh.Address}
+		for address, me := range sh.members {
+			if me.domain == sh.Domain || me.domain == "" {
+				sh.membership.Peers = append(sh.membership.Peers, address)
+			}
+		}
+	}
+	out := sh.membership
+	out.Settled = !sh.inTouchSince.IsZero() && now.Sub(sh.inTouchSince) >= settleTime
+	return out
+}
+
+// observePause restarts the time until the membership is settled when this entry VM
+// has just started, or has been frozen for so long that members may have been missed.
+func (sh *Sharer) observePause(now time.Time) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if now.Sub(sh.lastTick) > maxTickPause {
+		sh.inTouchSince = now
+	}
+	sh.lastTick = now
+}
+
 // dropExpired removes the members that were not heard from within memberTimeout.
 func (sh *Sharer) dropExpired(now time.Time) {
 	sh.mu.Lock()
@@ -109,6 +149,7 @@
 		if now.Sub(me.lastHeard) >= memberTimeout && now.Sub(me.addedAt) >= memberTimeout {
 			me.stop()
 			delete(sh.members, address)
+			sh.membersVersion++
 			sh.Log.Info("member", "address", address, "state", "dropped")
 		}
 	}
--- a/internal/duty/sharer/sharer.go
+++ b/internal/duty/sharer/sharer.go
@@ -59,6 +59,11 @@
 	periodicCount int         // periodic messages built so far; used by Run only
 	fetching      atomic.Bool // records are being fetched from a member
 
+	membersVersion int64         // increases with each change of the members or their domains
+	membership     ml.Membership // for the version in it
+	inTouchSince   time.Time     // start of this entry VM, or the end of its last pause
+	lastTick       time.Time     // of the last periodic message
+
 	messagesDropped atomic.Int64
 }
 
@@ -84,6 +89,7 @@
 		sh.AddMember(ctx, address)
 	}
 	go sh.runRelay(ctx)
+	sh.observePause(time.Now())
 	ti := time.NewTimer(stateInterval)
 	defer ti.Stop()
 	for {
@@ -120,6 +126,7 @@
 // sendState sends the periodic messages and removes expired members. It returns the
 // time until the next call.
 func (sh *Sharer) sendState(ctx context.Context, now time.Time) time.Duration {
+	sh.observePause(now)
 	sh.sendChanges(now)
 	sh.broadcast(now, sh.periodicState(now))
 	sh.dropExpired(now)
--- a/internal/duty/sharer/sharer_test.go
+++ b/internal/duty/sharer/sharer_test.go
@@ -208,3 +208,18 @@
 func (emptyDecoder) Endpoint(ml.KeyRecord) (ml.ListedEndpoint, bool, error) {
 	return ml.ListedEndpoint{}, false, nil
 }
+
+// TestMembership checks that an entry VM counts the others of its domain and those
+// that it has not heard yet, and that a process that has just started is not settled.
+func TestMembership(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fl := newFleet(t, 6)
+	of := func(i int) ml.Membership { return fl.nodes[i].Membership(time.Now()) }
+	g.Expect(of(0).Settled).To(gomega.BeFalse())
+	g.Eventually(func() []string { return of(0).Peers }).WithTimeout(eventuallyTimeout).Should(gomega.ConsistOf("10.0.0.02", "10.0.0.04"))
+	g.Eventually(func() bool { return of(0).Settled }).WithTimeout(eventuallyTimeout).Should(gomega.BeTrue())
+	before := of(0).Version
+	fl.nodes[0].AddMember(t.Context(), "10.0.0.99")
+	g.Expect(of(0).Peers).To(gomega.ContainElement("10.0.0.99"), "its domain is not known yet")
+	g.Expect(of(0).Version).NotTo(gomega.Equal(before))
+}
--- a/internal/state/tracker/tracker.go
+++ b/internal/state/tracker/tracker.go
@@ -42,6 +42,7 @@
 	unsentChanges ml.ShareMessage                  // local changes that have not been sent to the peers
 	peers         map[ml.VMID]*peer
 	sends         map[ml.EndpointID][]time.Time
+	localSends    map[ml.EndpointID][]localSend
 }
 
 // peer is the state that another entry VM has reported.
@@ -61,6 +62,9 @@
 	fl.LastEventAt = now
 	tr.localFlights[fl.ID] = &fl
 	tr.recordSend(now, fl.Endpoint)
+	if !fl.Helper {
+		tr.addLocalSend(now, &fl)
+	}
 	tr.unsentChanges.Flights = append(tr.unsentChanges.Flights, encodeFlight(now, &fl))
 	tr.mu.Unlock()
 	tr.notifyLocalChange()
@@ -89,10 +93,12 @@
 // EndFlight removes a flight of this entry VM.
 func (tr *Tracker) EndFlight(id ml.FlightID) {
 	tr.mu.Lock()
-	if _, found := tr.localFlights[id]; !found {
+	fl, found := tr.localFlights[id]
+	if !found {
 		tr.mu.Unlock()
 		return
 	}
+	tr.removeUnsent(fl)
 	delete(tr.localFlights, id)
 	tr.unsentChanges.Ended = append(tr.unsentChanges.Ended, id)
 	tr.mu.Unlock()
--- a/internal/state/tracker/tracker_test.go
+++ b/internal/state/tracker/tracker_test.go
@@ -74,3 +74,26 @@
 	g.Expect(tr.Flights(start.Add(4 * time.Second))["e"]).To(gomega.HaveLen(1))
 	g.Expect(tr.LivePeers(start.Add(4 * time.Second))).To(gomega.Equal(0))
 }
+
+// TestLocalSends checks that a request counts from its placement until a second after
+// it has been written, and no longer if it was never written.
+func TestLocalSends(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tr := &tracker.Tracker{}
+	now := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	for _, id := range []ml.FlightID{"written", "late", "unsent"} {
+		tr.AddFlight(now, ml.Flight{ID: id, Endpoint: "e", SentAt: now})
+	}
+	tr.AddFlight(now, ml.Flight{ID: "helper", Endpoint: "e", SentAt: now, Helper: true})
+	g.Expect(tr.LocalSends(at(0), "e")).To(gomega.Equal(3), "a helper gets no request")
+	tr.RecordSent(at(100), "written")
+	tr.RecordSent(at(900), "written")
+	tr.EndFlight("unsent")
+	tr.EndFlight("written")
+	g.Expect(tr.LocalSends(at(1099), "e")).To(gomega.Equal(2))
+	g.Expect(tr.LocalSends(at(1100), "e")).To(gomega.Equal(1), "one is not written yet")
+	tr.RecordSent(at(5000), "late")
+	g.Expect(tr.LocalSends(at(5999), "e")).To(gomega.Equal(1))
+	g.Expect(tr.LocalSends(at(6000), "e")).To(gomega.BeZero())
+}
--- a/serving.go
+++ b/serving.go
@@ -162,3 +162,13 @@
 
 // HoldID identifies a reservation of engine memory.
 type HoldID string
+
+// Membership is an entry VM's view of the entry VMs of its failure domain.
+type Membership struct {
+	Version int64    // changes with every other field but Settled
+	Self    string   // peer address of this entry VM
+	Peers   []string // peer addresses of the others, and of those whose domain is not known yet
+	// Settled reports whether this entry VM has been in touch for long enough to know
+	// the others and to be known by them.
+	Settled bool
+}
