fix: bound the head of an endpoint's answer

What callers would see: an engine in trouble that sends bytes without end where the head of an answer is due takes the entry VM with it. net/http.ReadResponse reads a line or a header of any length, and interim (1xx) answers for ever; the process grows until its memory limit kills it, with all requests that it carries.

Evidence: TestHeadWithoutEnd on the code before, under a limit of 6 GB of address space: "fatal error: out of memory" in textproto.readLineSlice (3.5 GB in use) within the five seconds of the request.

Change: 128 KiB for all heads that are read for one request. Bodies of skipped answers were bounded before. serve's endpoints are called through net/http's Transport, which bounds heads itself.

--- a/internal/adapter/exchanger/conn.go
+++ b/internal/adapter/exchanger/conn.go
@@ -19,6 +19,9 @@
 	// bufferBytes is the size of a connection's read buffer and of the buffer of one
 	// written request.
 	bufferBytes = 4 << 10
+	// maxHeadBytes bounds the heads that are read for one request: that of its answer,
+	// of interim (1xx) answers and of answers to other requests.
+	maxHeadBytes = 128 << 10
 	// maxStrayAnswers bounds the answers to other requests that are skipped before
 	// the answer to one request.
 	maxStrayAnswers = 2
@@ -36,15 +39,41 @@
 	net.Conn
 	reader       *bufio.Reader
 	bytesWritten atomic.Int64 // of the current request
+	readsHead    bool         // Read is limited to headLeft bytes
+	headLeft     int          // bytes that may still be read as heads
 	expiresAt    time.Time    // no request is sent on it after this time
 }
 
 func newConn(nc net.Conn) *conn {
 	co := &conn{Conn: nc}
-	co.reader = bufio.NewReaderSize(nc, bufferBytes)
+	co.reader = bufio.NewReaderSize(co, bufferBytes)
 	return co
 }
 
+// errHeadTooLong means that an endpoint sent more than maxHeadBytes without an answer.
+var errHeadTooLong = errors.New("the head of the answer is too long")
+
+// Read implements io.Reader. While a head is read, it limits the number of bytes: an
+// endpoint may send bytes that are no head and never stop.
+func (co *conn) Read(part []byte) (int, error) {
+	if !co.readsHead {
+		return co.Conn.Read(part)
+	}
+	if co.headLeft <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := co.Conn.Read(part[:min(len(part), co.headLeft)])
+	co.headLeft -= n
+	return n, err
+}
+
+// readHead reads the next head of an answer.
+func (co *conn) readHead(rq *http.Request) (*http.Response, error) {
+	co.readsHead = true
+	defer func() { co.readsHead = false }()
+	return http.ReadResponse(co.reader, rq)
+}
+
 // Write implements io.Writer. It counts the bytes that the network has accepted.
 func (co *conn) Write(part []byte) (int, error) {
 	n, err := co.Conn.Write(part)
@@ -94,8 +123,9 @@
 // informational (1xx) answers and answers to other requests, which an endpoint may
 // send late.
 func (co *conn) readAnswer(rq *http.Request, match func(http.Header) bool) (*http.Response, error) {
+	co.headLeft = maxHeadBytes
 	for stray := 0; ; {
-		rs, err := http.ReadResponse(co.reader, rq)
+		rs, err := co.readHead(rq)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/adapter/exchanger/exchanger_test.go
+++ b/internal/adapter/exchanger/exchanger_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -187,3 +188,63 @@
 		}
 	})
 }
+
+// endlessPeer is an endpoint that replies to each request with a prefix and then
+// repeats a text until the connection is closed.
+type endlessPeer struct {
+	li      net.Listener
+	written atomic.Int64 // bytes
+}
+
+func newEndlessPeer(t *testing.T, prefix, repeated string) *endlessPeer {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ep := &endlessPeer{li: li}
+	t.Cleanup(func() { _ = li.Close() })
+	go ep.run(prefix, []byte(strings.Repeat(repeated, 1+(32<<10)/len(repeated))))
+	return ep
+}
+
+func (ep *endlessPeer) run(prefix string, repeated []byte) {
+	for {
+		nc, err := ep.li.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(nc)); err != nil {
+			continue
+		}
+		_, err = io.WriteString(nc, prefix)
+		for n := 0; err == nil; {
+			n, err = nc.Write(repeated)
+			ep.written.Add(int64(n))
+		}
+		_ = nc.Close()
+	}
+}
+
+// TestHeadWithoutEnd guards against an endpoint whose head never ends: it is given up
+// soon, and what it sends is not kept in memory.
+func TestHeadWithoutEnd(t *testing.T) {
+	const maxTaken = 32 << 20 // bytes, with what the buffers of the sockets hold
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+	for name, tc := range map[string]struct{ prefix, repeated string }{
+		"status line":       {"HTTP/1.1 200 ", "x"},
+		"no protocol":       {"", "\x00\xff"},
+		"one header":        {head + "Long: ", "x"},
+		"headers":           {head, "More: x\r\n"},
+		"interim responses": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"other's responses": {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nxx"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ep, ex := newEndlessPeer(t, tc.prefix, tc.repeated), &exchanger.Exchanger{}
+			_, err := do(ex, exchanger.Target{Endpoint: "e", Incarnation: "1", Address: ep.li.Addr().String()}, "/a")
+			g := gomega.NewWithT(t)
+			g.Expect(err).To(gomega.HaveOccurred())
+			g.Expect(err).NotTo(gomega.MatchError(context.DeadlineExceeded), "given up before the deadline")
+			g.Expect(ep.written.Load()).To(gomega.BeNumerically("<", maxTaken))
+		})
+	}
+}
