fix: leave an endpoint whose body never becomes an answer

What callers would see: an engine in trouble that sends comments, blank lines or the same event again and again keeps a stream's caller waiting until the deadline, since any bytes told the watchdog that the engine works; an error whose body never ends was forwarded for ever instead of being answered elsewhere.

Evidence: TestBodyWithoutEnd on the code before: four of five cases ended only at the deadline of 5 s (comments, blank lines, the same event, the body of a status 500); an event without end was bounded already.

Change: only an event that the caller does not have counts as progress. What stands between two events is forwarded with the later one, up to 1 MiB, then the stream goes on elsewhere. An error's body of more than 512 KiB is a failure like any other.

Not bounded but by the deadline: a 2xx body without a length, which may be an answer.

--- a/internal/duty/forwarder/attempt.go
+++ b/internal/duty/forwarder/attempt.go
@@ -106,6 +106,9 @@
 	if err != nil {
 		return attemptResult{received: true, reason: "answer broke off", err: err}
 	}
+	if len(body) == maxBufferedBytes && (an.Status >= http.StatusInternalServerError || impliesNotRun(an.Status)) {
+		return attemptResult{received: true, reason: "status " + strconv.Itoa(an.Status) + " with a body too long", err: errEndpointFailure}
+	}
 	if len(body) == maxBufferedBytes {
 		return fo.forwardLong(rq, rs, an, body)
 	}
--- a/internal/duty/forwarder/event.go
+++ b/internal/duty/forwarder/event.go
@@ -16,9 +16,10 @@
 
 // event is one complete event of a stream, including the blank line that ends it.
 type event struct {
-	raw   []byte
-	id    ml.EventID
-	hasID bool
+	raw     []byte // with comments and blank lines before it
+	id      ml.EventID
+	hasID   bool
+	hasData bool
 }
 
 // readEvent reads the next event. It returns io.EOF at the end of the stream,
@@ -41,7 +42,7 @@
 			return ev, fmt.Errorf("an event is longer than %d bytes", maxEventBytes)
 		}
 		if text := bytes.TrimRight(line, "\r\n"); len(text) == 0 && isCompleteLine(ev.raw, line) {
-			return ev, ev.parseID()
+			return ev, ev.parseFields()
 		}
 	}
 }
@@ -53,9 +54,10 @@
 	return len(before) == 0 || before[len(before)-1] == '\n'
 }
 
-// parseID reads the event's id, if it has one.
-func (ev *event) parseID() error {
+// parseFields reads the event's id, if it has one, and whether it has data.
+func (ev *event) parseFields() error {
 	for line := range bytes.Lines(ev.raw) {
+		ev.hasData = ev.hasData || bytes.HasPrefix(line, []byte("data"))
 		text, found := bytes.CutPrefix(line, []byte("id:"))
 		if !found {
 			continue
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -25,11 +25,16 @@
 	// remainingWaitDivisor divides the time that a caller waits for a first event, to
 	// estimate how much of it remains when an engine times out.
 	remainingWaitDivisor = 2
+	// maxIdleBytes bounds what an engine may send between two events: comments, blank
+	// lines and events that the caller has.
+	maxIdleBytes = maxEventBytes
 )
 
 var (
 	// errEventTimeout means that an engine sent no event in time.
 	errEventTimeout = errors.New("the engine is silent")
+	// errNoProgress means that an engine sent bytes without an event.
+	errNoProgress = errors.New("the engine sends bytes that are no event")
 	// errCallerDisconnected means that writing to the caller failed.
 	errCallerDisconnected = errors.New("the caller has left")
 )
@@ -108,9 +113,9 @@
 	in := bufio.NewReader(an.Body)
 	first := true
 	for {
-		ev, err := readEvent(in)
+		ev, err := rq.nextEvent(in)
 		if errors.Is(err, io.EOF) {
-			return fo.finishStream(rq, rs, an)
+			return fo.finishStream(rq, rs, an, ev.raw)
 		}
 		if err != nil {
 			return attemptResult{received: true, reason: "stream broke off: " + failureReason(ctx, err), err: err}
@@ -152,16 +157,44 @@
 	}
 }
 
-// forwardEvent checks that an event is the next one and forwards it.
-func (fo *Forwarder) forwardEvent(rq *Request, rs ml.Responder, an *ml.Answer, ev event) error {
-	if ev.hasID {
-		if rq.lastEventID > 0 && ev.id <= rq.lastEventID {
-			return nil // already forwarded
+// nextEvent reads the next event that the caller does not have yet. Comments and blank
+// lines before it are returned with it, so that they are forwarded only if an event
+// follows. At the end of the stream they are returned with io.EOF.
+func (rq *Request) nextEvent(in *bufio.Reader) (event, error) {
+	idle, idleBytes := []byte{}, 0
+	for {
+		ev, err := readEvent(in)
+		switch {
+		case errors.Is(err, io.EOF):
+			return event{raw: idle}, err
+		case err != nil:
+			return ev, err
+		case rq.advances(ev):
+			ev.raw = append(idle, ev.raw...)
+			return ev, nil
+		}
+		if idleBytes += len(ev.raw); idleBytes > maxIdleBytes {
+			return ev, errNoProgress
 		}
-		if rq.lastEventID > 0 && ev.id != rq.lastEventID+1 {
-			return fmt.Errorf("event %d received after event %d", ev.id, rq.lastEventID)
+		if !ev.hasID {
+			idle = append(idle, ev.raw...)
 		}
 	}
+}
+
+// advances reports whether the caller does not have an event yet.
+func (rq *Request) advances(ev event) bool {
+	if !ev.hasID {
+		return ev.hasData
+	}
+	return ev.id > rq.lastEventID || rq.eventCount == 0 && rq.lastEventID == 0
+}
+
+// forwardEvent checks that an event is the next one and forwards it.
+func (fo *Forwarder) forwardEvent(rq *Request, rs ml.Responder, an *ml.Answer, ev event) error {
+	if ev.hasID && rq.lastEventID > 0 && ev.id != rq.lastEventID+1 {
+		return fmt.Errorf("event %d received after event %d", ev.id, rq.lastEventID)
+	}
 	if err := fo.sendHead(rq, rs, an); err != nil {
 		return err
 	}
@@ -199,8 +232,13 @@
 	return nil
 }
 
-func (fo *Forwarder) finishStream(rq *Request, rs ml.Responder, an *ml.Answer) attemptResult {
-	if err := fo.sendHead(rq, rs, an); err != nil {
+// finishStream ends the response with the bytes after the last event.
+func (fo *Forwarder) finishStream(rq *Request, rs ml.Responder, an *ml.Answer, rest []byte) attemptResult {
+	err := fo.sendHead(rq, rs, an)
+	if err == nil && len(rest) > 0 {
+		err = rs.Write(rest)
+	}
+	if err != nil {
 		rs.Abort()
 		return attemptResult{done: true, received: true, reason: err.Error()}
 	}
