test: shares add up to the limit while entry VMs come and go

Guards the precondition of the shares of a cold engine's rate: an entry VM that runs knows every other one of its domain that uses its share. Six of 24 die and are replaced at other addresses one after the other; the sum is sampled each 20 ms.

--- a/internal/duty/sharer/sharer_test.go
+++ b/internal/duty/sharer/sharer_test.go
@@ -15,6 +15,7 @@
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/decision/detector"
+	"github.com/mulberrylever/mulberrylever/internal/decision/divider"
 	"github.com/mulberrylever/mulberrylever/internal/duty/sharer"
 	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
 	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
@@ -98,23 +99,35 @@
 func newFleet(tb testing.TB, n int) *fleet {
 	fl := &fleet{ne: &network{nodes: map[string]*sharer.Sharer{}, killed: map[string]bool{}}}
 	for i := range n {
-		sh := sharer.New()
-		sh.Self, sh.Address = ml.VMID(fmt.Sprintf("vm%02d", i)), fmt.Sprintf("10.0.0.%02d", i)
-		sh.Domain, sh.Seeds = ml.DomainID(fmt.Sprint("d", i%2)), []string{"10.0.0.00", "10.0.0.01"}
-		sh.Peers, sh.Tracker, sh.Catalog = fl.ne, &tracker.Tracker{OnLocalChange: sh.Signal}, &cataloger.Cataloger{Decoder: emptyDecoder{}, Log: slog.New(slog.DiscardHandler)}
-		sh.Detector, sh.Log, sh.Leaving = &detector.Detector{}, slog.New(slog.DiscardHandler), func() bool { return false }
-		fl.ne.nodes[sh.Address] = sh
-		fl.nodes = append(fl.nodes, sh)
+		fl.create(i)
 	}
-	for _, sh := range fl.nodes {
-		ctx, cancel := context.WithCancel(context.Background())
-		tb.Cleanup(cancel)
-		fl.stop = append(fl.stop, cancel)
-		go func() { _ = sh.Run(ctx) }()
+	for i := range n {
+		fl.run(tb, i)
 	}
 	return fl
 }
 
+// create creates the entry VM with a number. The failure domain follows from the number.
+func (fl *fleet) create(i int) {
+	sh := sharer.New()
+	sh.Self, sh.Address = ml.VMID(fmt.Sprintf("vm%02d", i)), fmt.Sprintf("10.0.0.%02d", i)
+	sh.Domain, sh.Seeds = ml.DomainID(fmt.Sprint("d", i%2)), []string{"10.0.0.00", "10.0.0.01"}
+	sh.Peers, sh.Tracker, sh.Catalog = fl.ne, &tracker.Tracker{OnLocalChange: sh.Signal}, &cataloger.Cataloger{Decoder: emptyDecoder{}, Log: slog.New(slog.DiscardHandler)}
+	sh.Detector, sh.Log, sh.Leaving = &detector.Detector{}, slog.New(slog.DiscardHandler), func() bool { return false }
+	fl.ne.mu.Lock()
+	fl.ne.nodes[sh.Address] = sh
+	fl.ne.mu.Unlock()
+	fl.nodes = append(fl.nodes, sh)
+}
+
+// run starts the entry VM with a number.
+func (fl *fleet) run(tb testing.TB, i int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	tb.Cleanup(cancel)
+	fl.stop = append(fl.stop, cancel)
+	go func() { _ = fl.nodes[i].Run(ctx) }()
+}
+
 // kill stops one entry VM and makes it unreachable.
 func (fl *fleet) kill(i int) {
 	fl.stop[i]()
@@ -223,3 +236,44 @@
 	g.Expect(of(0).Peers).To(gomega.ContainElement("10.0.0.99"), "its domain is not known yet")
 	g.Expect(of(0).Version).NotTo(gomega.Equal(before))
 }
+
+// sumOfShares returns the sum of the shares of all entry VMs that use theirs.
+func (fl *fleet) sumOfShares(now time.Time, id ml.EndpointID, limit int) int {
+	n := 0
+	for _, sh := range fl.nodes {
+		fl.ne.mu.Lock()
+		killed := fl.ne.killed[sh.Address]
+		fl.ne.mu.Unlock()
+		view := sh.Membership(now)
+		if killed || !view.Settled {
+			continue
+		}
+		di := divider.Divider{Domain: sh.Domain, Domains: []ml.DomainID{"d0", "d1"}}
+		n += di.Share(view, id, limit)
+	}
+	return n
+}
+
+// TestSharesWhileMembersChange guards against a cold engine that is flooded while entry
+// VMs die and others take their place: at no time do the shares of those that run add
+// up to more than the limit.
+func TestSharesWhileMembersChange(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const n, rounds, limit = 24, 6, 15
+	fl := newFleet(t, n)
+	sum := func() int {
+		most := 0
+		for _, id := range []ml.EndpointID{"e1", "e2", "e3"} {
+			most = max(most, fl.sumOfShares(time.Now(), id, limit))
+		}
+		return most
+	}
+	g.Eventually(sum).WithTimeout(eventuallyTimeout).Should(gomega.Equal(limit))
+	for round := range rounds {
+		fl.kill(2 + round)
+		fl.create(n + round)
+		fl.run(t, n+round)
+		g.Consistently(sum, "700ms", "20ms").Should(gomega.BeNumerically("<=", limit))
+	}
+	g.Consistently(sum, "4s", "20ms").Should(gomega.BeNumerically("<=", limit), "also when the new ones use their shares")
+}
