fix: use the whole rate of a cold engine

What callers saw: refusals and late answers while cold engines had places. The limit of what is known to have been sent was lowered by an estimate of the requests that are not known yet, to 6 or 7 of 15 a second in a wave of 150. The estimate was of the whole fleet's requests, held against each engine, and was no bound either.

Change: the shares bound the sum, so what is known is held against the rate itself.

--- a/internal/duty/forwarder/coldrate.go
+++ b/internal/duty/forwarder/coldrate.go
@@ -9,11 +9,11 @@
 
 // coldRateReached reports whether an endpoint that is cold, or may have become cold
 // without notice, must get no further request of this entry VM now.
-func (fo *Forwarder) coldRateReached(now time.Time, rq *Request, li cataloger.Listing, unseen float64) bool {
+func (fo *Forwarder) coldRateReached(now time.Time, rq *Request, li cataloger.Listing) bool {
 	if rq.Spec == nil || rq.Spec.ColdRate <= 0 {
 		return false
 	}
-	return fo.coldShareUsed(now, rq.Spec, li) || fo.knownRateReached(now, rq.Spec, li, unseen)
+	return fo.coldShareUsed(now, rq.Spec, li) || fo.knownRateReached(now, rq.Spec, li)
 }
 
 // coldShareUsed reports whether this entry VM has used its share of what the fleet may
@@ -37,11 +37,7 @@
 }
 
 // knownRateReached reports whether an endpoint is known to have received as many
-// requests in the last second as a cold one can serve. The limit is lowered by the
-// unseen requests of other entry VMs, but never below a third of the rate, so that
-// a fleet in which all engines are cold still serves requests.
-func (fo *Forwarder) knownRateReached(now time.Time, spec *ml.ServiceSpec, li cataloger.Listing, unseen float64) bool {
-	const minShare = 1.0 / 3
-	limit := max(spec.ColdRate-unseen, minShare*spec.ColdRate)
-	return float64(fo.Tracker.RecentSends(now, li.ID)) >= limit
+// requests in the last second as a cold one can serve.
+func (fo *Forwarder) knownRateReached(now time.Time, spec *ml.ServiceSpec, li cataloger.Listing) bool {
+	return float64(fo.Tracker.RecentSends(now, li.ID)) >= spec.ColdRate
 }
--- a/internal/duty/forwarder/service.go
+++ b/internal/duty/forwarder/service.go
@@ -33,11 +33,10 @@
 
 func (fo *Forwarder) chooseService(now time.Time, rq *Request) *placement {
 	flights := fo.Tracker.Flights(now)
-	unseen := fo.expectedUnseen(now, flights)
 	candidates := []placer.ServiceCandidate{}
 	for _, li := range fo.Catalog.Usable(now, rq.Service) {
 		ca := fo.candidate(now, li, flights[li.ID])
-		ca.Blocked = ca.Blocked || fo.coldRateReached(now, rq, li, unseen) || slices.Contains(rq.triedEndpoints, li.ID)
+		ca.Blocked = ca.Blocked || fo.coldRateReached(now, rq, li) || slices.Contains(rq.triedEndpoints, li.ID)
 		candidates = append(candidates, placer.ServiceCandidate{
 			Endpoint: ca.Endpoint, Running: len(ca.Flights), FailureRate: ca.FailureRate, Blocked: ca.Blocked,
 		})
