fix: divide the slack of the retry budget among the entry VMs

Change: the burst of an entry VM is its share of the slack, by the divider, and at least one.

TestRetryBudgetOfFleet: 150 retries without a request by 87 entry VMs, 150 allowed; with the whole burst at each, as a fixed part is, 13,050.

--- a/internal/decision/budgeter/budgeter.go
+++ b/internal/decision/budgeter/budgeter.go
@@ -21,7 +21,14 @@
 	Burst float64 // retries allowed without new requests; zero for the default
 
 	mu    sync.Mutex
-	spent float64 // retries not yet covered by requests, at most the burst
+	spent float64 // retries not yet covered by requests
+}
+
+// SetBurst changes the burst.
+func (bu *Budgeter) SetBurst(burst float64) {
+	bu.mu.Lock()
+	defer bu.mu.Unlock()
+	bu.Burst = burst
 }
 
 // RecordRequest records a request, which adds perCent/100 of a retry to the budget.
--- a/internal/decision/divider/divider.go
+++ b/internal/decision/divider/divider.go
@@ -1,5 +1,4 @@
-// Package divider divides a rate limit that holds for the whole fleet among its entry
-// VMs. The shares follow from who the members are, and from nothing that happens
+// Package divider divides a limit that holds for the whole fleet among its entry VMs. The shares follow from who the members are, and from nothing that happens
 // between them, so that their sum keeps the limit however late members hear of each
 // other's requests.
 //
@@ -27,24 +26,24 @@
 	view  ml.Membership
 	self  uint64
 	peers []uint64 // hashes of view.Peers
-	ranks map[ml.EndpointID]rank
+	ranks map[string]rank
 }
 
-// rank is the place of this entry VM in the order that an endpoint gives to the
-// failure domains, and within them to the entry VMs.
+// rank is the place of this entry VM in the order that a key gives to the failure
+// domains, and within them to the entry VMs.
 type rank struct {
 	domain, member int
 }
 
-// Share returns how many of limit requests this entry VM may send to an endpoint.
-func (di *Divider) Share(view ml.Membership, id ml.EndpointID, limit int) int {
+// Share returns the part of the limit with a key that this entry VM may use.
+func (di *Divider) Share(view ml.Membership, key string, limit int) int {
 	di.mu.Lock()
 	defer di.mu.Unlock()
 	di.setView(view)
-	ra, known := di.ranks[id]
+	ra, known := di.ranks[key]
 	if !known {
-		ra = di.rank(id)
-		di.ranks[id] = ra
+		ra = di.rank(key)
+		di.ranks[key] = ra
 	}
 	ofDomain := part(limit, len(di.Domains), ra.domain)
 	return part(ofDomain, 1+len(di.peers), ra.member)
@@ -73,26 +72,26 @@
 	for i, address := range view.Peers {
 		di.peers[i] = xxhash.Sum64String(address)
 	}
-	di.ranks = make(map[ml.EndpointID]rank)
+	di.ranks = make(map[string]rank)
 }
 
-func (di *Divider) rank(id ml.EndpointID) rank {
-	endpoint := xxhash.Sum64String(string(id))
+func (di *Divider) rank(key string) rank {
+	keyHash := xxhash.Sum64String(key)
 	domains := make([]uint64, len(di.Domains))
 	for i, do := range di.Domains {
 		domains[i] = xxhash.Sum64String(string(do))
 	}
 	own := xxhash.Sum64String(string(di.Domain))
-	return rank{domain: countBefore(endpoint, own, domains), member: countBefore(endpoint, di.self, di.peers)}
+	return rank{domain: countBefore(keyHash, own, domains), member: countBefore(keyHash, di.self, di.peers)}
 }
 
-// countBefore returns how many of the others come before self in the order that an
-// endpoint gives to them (rendezvous hashing).
-func countBefore(endpoint, self uint64, others []uint64) int {
-	weight := mix(endpoint, self)
+// countBefore returns how many of the others come before self in the order that a key
+// gives to them (rendezvous hashing).
+func countBefore(key, self uint64, others []uint64) int {
+	weight := mix(key, self)
 	n := 0
 	for _, other := range others {
-		if mix(endpoint, other) > weight {
+		if mix(key, other) > weight {
 			n++
 		}
 	}
--- a/internal/decision/divider/divider_test.go
+++ b/internal/decision/divider/divider_test.go
@@ -40,21 +40,21 @@
 
 // sum returns the sum of the shares of all entry VMs. Each may also count the given
 // strangers as members.
-func (fl fleet) sum(limit int, id ml.EndpointID, strangers func() []string) int {
+func (fl fleet) sum(limit int, key string, strangers func() []string) int {
 	n := 0
 	for do, members := range fl {
 		for i, self := range members {
 			others := slices.Delete(slices.Clone(members), i, i+1)
 			view := ml.Membership{Version: 1, Self: self, Peers: append(others, strangers()...)}
 			di := divider.Divider{Domain: do, Domains: fl.domains()}
-			n += di.Share(view, id, limit)
+			n += di.Share(view, key, limit)
 		}
 	}
 	return n
 }
 
-func drawEndpoint(rt *rapid.T) ml.EndpointID {
-	return ml.EndpointID(rapid.StringMatching("i-[0-9a-f]{8}").Draw(rt, "endpoint"))
+func drawEndpoint(rt *rapid.T) string {
+	return rapid.StringMatching("i-[0-9a-f]{8}").Draw(rt, "endpoint")
 }
 
 // TestSharesAddUp checks that the shares of all entry VMs add up to the limit.
@@ -103,7 +103,7 @@
 			view := ml.Membership{Version: 1, Self: self, Peers: slices.Delete(slices.Clone(members), i, i+1)}
 			n := 0
 			for e := range engines {
-				n += di.Share(view, ml.EndpointID(fmt.Sprint("i-", e)), limit)
+				n += di.Share(view, fmt.Sprint("i-", e), limit)
 			}
 			if n < mean/3 {
 				t.Errorf("%s may send %d requests a second, the mean is %d", self, n, mean)
--- a/internal/duty/forwarder/cold_rate_test.go
+++ b/internal/duty/forwarder/cold_rate_test.go
@@ -208,3 +208,22 @@
 	}
 	return n
 }
+
+// TestRetryBudgetOfFleet guards against entry VMs that together retry more than the
+// budget of the fleet allows, when requests fail at all of them in the same window.
+func TestRetryBudgetOfFleet(t *testing.T) {
+	const burst = 150
+	cf := newColdFleet(3, 29, 0)
+	retries := 0
+	for _, fo := range cf.all {
+		fo.RetryBurst = burst
+		for range burst {
+			if fo.allowRetry(cf.start, "lm") {
+				retries++
+			}
+		}
+	}
+	if retries != burst {
+		t.Errorf("the entry VMs retry %d times without new requests, want %d", retries, burst)
+	}
+}
--- a/internal/duty/forwarder/coldrate.go
+++ b/internal/duty/forwarder/coldrate.go
@@ -33,7 +33,7 @@
 		}
 		limit = int(spec.ColdRate)
 	}
-	return fo.Tracker.LocalSends(now, li.ID) >= fo.Divider.Share(view, li.ID, limit)
+	return fo.Tracker.LocalSends(now, li.ID) >= fo.Divider.Share(view, string(li.ID), limit)
 }
 
 // knownRateReached reports whether an endpoint is known to have received as many
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -80,10 +80,10 @@
 	// the most that it may receive in one second.
 	ColdOverage, ColdSlack float64
 
-	// RetryPerCent bounds the retries of this entry VM as a share of its
-	// requests, RetryBurst those beyond that share.
+	// RetryPerCent bounds the retries of each entry VM as a share of its requests,
+	// RetryBurst those of all entry VMs together beyond that share.
 	RetryPerCent float64
-	RetryBurst   float64
+	RetryBurst   int
 
 	queue              queue
 	peerPlaceableSince map[ml.FlightID]time.Time // since when peer requests could have been placed; used by Run only
@@ -127,8 +127,7 @@
 func (fo *Forwarder) Forward(ctx context.Context, rq *Request, rs ml.Responder) {
 	ctx, cancel := context.WithDeadline(ctx, rq.Deadline)
 	defer cancel()
-	bu := fo.retryBudget(rq.Service)
-	bu.RecordRequest(fo.RetryPerCent)
+	fo.retryBudget(rq.Service).RecordRequest(fo.RetryPerCent)
 	rq.lastEventID = rq.Outgoing.LastEventID
 	outcome := ""
 	for outcome == "" {
@@ -136,7 +135,7 @@
 		switch {
 		case ar.done:
 			outcome = ar.reason
-		case !fo.shouldRetry(ctx, rq, ar, bu):
+		case !fo.shouldRetry(ctx, rq, ar):
 			outcome = fo.finish(ctx, rq, rs, ar)
 		default:
 			fo.Log.Info("again", "request", rq.Outgoing.Attempt, "sends", rq.sendCount, "runs", rq.possibleRuns, "after", rq.lastEventID,
@@ -217,7 +216,7 @@
 // shouldRetry reports whether a request is sent again. A request that may have run
 // is repeated only if the route is idempotent and has attempts left. The retry
 // budget is charged unless the request did not reach the endpoint.
-func (fo *Forwarder) shouldRetry(ctx context.Context, rq *Request, ar attemptResult, bu *budgeter.Budgeter) bool {
+func (fo *Forwarder) shouldRetry(ctx context.Context, rq *Request, ar attemptResult) bool {
 	if ctx.Err() != nil || time.Until(rq.Deadline) < minTimeForRetry || rq.sendCount >= maxSendsPerRequest {
 		return false
 	}
@@ -231,7 +230,7 @@
 	if rq.headSent && !rq.Route.Resumable {
 		return false
 	}
-	return !ar.received || rq.retryCharged.Swap(false) || bu.AllowRetry()
+	return !ar.received || rq.retryCharged.Swap(false) || fo.allowRetry(time.Now(), rq.Service)
 }
 
 // finish sends the final response after the last attempt and returns the outcome.
@@ -293,12 +292,24 @@
 	}
 	bu := fo.retryBudgets[service]
 	if bu == nil {
-		bu = &budgeter.Budgeter{Burst: fo.RetryBurst}
+		bu = &budgeter.Budgeter{}
 		fo.retryBudgets[service] = bu
 	}
 	return bu
 }
 
+// allowRetry takes one retry from the budget of this entry VM, if there is one. Its
+// burst is a share of that of the fleet, and at least one retry.
+func (fo *Forwarder) allowRetry(now time.Time, service ml.ServiceName) bool {
+	burst := fo.RetryBurst
+	if fo.Membership != nil {
+		burst = fo.Divider.Share(fo.Membership(now), string(service), burst)
+	}
+	bu := fo.retryBudget(service)
+	bu.SetBurst(float64(max(burst, 1)))
+	return bu.AllowRetry()
+}
+
 func (fo *Forwarder) newFlightID() ml.FlightID {
 	return ml.FlightID(string(fo.Self) + "-" + strconv.FormatInt(fo.lastFlightNumber.Add(1), 36))
 }
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -92,7 +92,7 @@
 // prepayRetry charges the retry budget for one more attempt, unless it was already
 // charged. It reports whether that attempt is allowed.
 func (fo *Forwarder) prepayRetry(rq *Request) bool {
-	if !rq.retryCharged.Load() && fo.retryBudget(rq.Service).AllowRetry() {
+	if !rq.retryCharged.Load() && fo.allowRetry(time.Now(), rq.Service) {
 		rq.retryCharged.Store(true)
 	}
 	return rq.retryCharged.Load()
--- a/internal/duty/sharer/sharer_test.go
+++ b/internal/duty/sharer/sharer_test.go
@@ -238,7 +238,7 @@
 }
 
 // sumOfShares returns the sum of the shares of all entry VMs that use theirs.
-func (fl *fleet) sumOfShares(now time.Time, id ml.EndpointID, limit int) int {
+func (fl *fleet) sumOfShares(now time.Time, key string, limit int) int {
 	n := 0
 	for _, sh := range fl.nodes {
 		fl.ne.mu.Lock()
@@ -249,7 +249,7 @@
 			continue
 		}
 		di := divider.Divider{Domain: sh.Domain, Domains: []ml.DomainID{"d0", "d1"}}
-		n += di.Share(view, id, limit)
+		n += di.Share(view, key, limit)
 	}
 	return n
 }
@@ -263,8 +263,8 @@
 	fl := newFleet(t, n)
 	sum := func() int {
 		most := 0
-		for _, id := range []ml.EndpointID{"e1", "e2", "e3"} {
-			most = max(most, fl.sumOfShares(time.Now(), id, limit))
+		for _, key := range []string{"e1", "e2", "e3"} {
+			most = max(most, fl.sumOfShares(time.Now(), key, limit))
 		}
 		return most
 	}
