fix: take a stream from a silent engine only if a share is left elsewhere

What callers would see: an entry VM leaves a silent engine because another one could go on with the stream, and then finds that it may send to none, since it has used its share of each: the stream breaks off. The check whether another engine could go on looked at places and failures, not at the rate that may be sent.

TestResumeNeedsShare fails on the code before ("is taken from its engine, but could not go on at the other one").

--- a/internal/duty/forwarder/cold_rate_test.go
+++ b/internal/duty/forwarder/cold_rate_test.go
@@ -227,3 +227,21 @@
 		t.Errorf("the entry VMs retry %d times without new requests, want %d", retries, burst)
 	}
 }
+
+// TestResumeNeedsShare guards against a stream that is taken from its silent engine
+// although the share of every other engine is used: it could not go on anywhere.
+func TestResumeNeedsShare(t *testing.T) {
+	cf := newColdFleet(1, 1, 2)
+	fo, now := cf.all[0], cf.start.Add(time.Minute)
+	rq := request(12)
+	rq.Spec.ColdRate = 1
+	fo.ColdOverage, fo.ColdSlack = 1, 0
+	rq.Arrived, rq.FirstEventDeadline = now, now.Add(4*time.Second)
+	if !fo.canResumeElsewhere(now, rq, "e0") {
+		t.Fatal("the stream can't go on at the other engine")
+	}
+	fo.Tracker.AddFlight(now, ml.Flight{ID: "f", Endpoint: "e1", SentAt: now})
+	if fo.canResumeElsewhere(now, rq, "e0") {
+		t.Error("the stream is taken from its engine, but could not go on at the other one")
+	}
+}
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -81,9 +81,12 @@
 	flights := fo.Tracker.Flights(now)
 	candidates := []placer.Candidate{}
 	for _, li := range fo.Catalog.Usable(now, rq.Service) {
-		if li.ID != lead {
-			candidates = append(candidates, fo.candidate(now, li, flights[li.ID]))
+		if li.ID == lead {
+			continue
 		}
+		ca := fo.candidate(now, li, flights[li.ID])
+		ca.Blocked = ca.Blocked || fo.coldRateReached(now, rq, li)
+		candidates = append(candidates, ca)
 	}
 	ch := placer.Choose(now, &pr, candidates)
 	return !ch.Refused && !ch.Wait
