fix: a member that is cut off keeps its share of a limit

What callers would see: two parts of a failure domain that can't hear each other for more than 20 s each use the domain's whole share of a cold engine's rate. An entry VM counted a member no longer once it was dropped, though it may only be cut off.

Change: a dropped member of the own domain counts for 5 more minutes, the time for which regions lose each other. What a member that really died leaves unused then is one share of many; of two entry VMs in a domain, half of the domain's part of an engine known to be cold, for that time.

--- a/internal/duty/sharer/member.go
+++ b/internal/duty/sharer/member.go
@@ -18,6 +18,9 @@
 	memberTimeout = 20 * time.Second
 	// memberRetryDelay is the wait after a message could not be sent to a member.
 	memberRetryDelay = time.Second
+	// shareRetention is how long a member that was dropped still has its share of each
+	// limit: it may only be cut off from this entry VM.
+	shareRetention = 5 * time.Minute
 	// settleTime is how long an entry VM is in touch before it counts on its view of
 	// the membership: several periodic messages of all members.
 	settleTime = 3 * time.Second
@@ -75,6 +78,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	me := &member{address: address, sendQueue: make(chan outgoingMessage, sendQueueSize), addedAt: time.Now(), stop: cancel}
 	sh.members[address] = me
+	delete(sh.dropped, address)
 	sh.membersVersion++
 	go sh.runMember(ctx, me)
 }
@@ -112,8 +116,8 @@
 }
 
 // Membership returns this entry VM's view of its failure domain. A member counts until
-// it has not been heard for memberTimeout, so that one that is only cut off or frozen
-// keeps its share of each limit.
+// shareRetention after it was dropped, so that one that is only cut off or frozen keeps
+// its share of each limit.
 func (sh *Sharer) Membership(now time.Time) ml.Membership {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -124,6 +128,9 @@
 				sh.membership.Peers = append(sh.membership.Peers, address)
 			}
 		}
+		for address := range sh.dropped {
+			sh.membership.Peers = append(sh.membership.Peers, address)
+		}
 	}
 	out := sh.membership
 	out.Settled = !sh.inTouchSince.IsZero() && now.Sub(sh.inTouchSince) >= settleTime
@@ -151,6 +158,15 @@
 			delete(sh.members, address)
 			sh.membersVersion++
 			sh.Log.Info("member", "address", address, "state", "dropped")
+			if me.domain == sh.Domain {
+				sh.dropped[address] = now
+			}
+		}
+	}
+	for address, at := range sh.dropped {
+		if now.Sub(at) >= shareRetention {
+			delete(sh.dropped, address)
+			sh.membersVersion++
 		}
 	}
 }
--- a/internal/duty/sharer/sharer.go
+++ b/internal/duty/sharer/sharer.go
@@ -59,17 +59,18 @@
 	periodicCount int         // periodic messages built so far; used by Run only
 	fetching      atomic.Bool // records are being fetched from a member
 
-	membersVersion int64         // increases with each change of the members or their domains
-	membership     ml.Membership // for the version in it
-	inTouchSince   time.Time     // start of this entry VM, or the end of its last pause
-	lastTick       time.Time     // of the last periodic message
+	dropped        map[string]time.Time // when members of this domain were dropped, by address
+	membersVersion int64                // increases with each change of the members or their domains
+	membership     ml.Membership        // for the version in it
+	inTouchSince   time.Time            // start of this entry VM, or the end of its last pause
+	lastTick       time.Time            // of the last periodic message
 
 	messagesDropped atomic.Int64
 }
 
 // New returns a sharer. Signal may be called before Run.
 func New() *Sharer {
-	return &Sharer{changed: make(chan struct{}, 1), batchReady: make(chan struct{}, 1), members: make(map[string]*member)}
+	return &Sharer{changed: make(chan struct{}, 1), batchReady: make(chan struct{}, 1), members: make(map[string]*member), dropped: make(map[string]time.Time)}
 }
 
 // Signal makes Run send the changes that have not been sent yet.
--- a/model/run.sh
+++ b/model/run.sh
@@ -33,4 +33,7 @@
 check rejected claim.pml -DNO_CLAIM
 check rejected claim.pml -DNO_TOMBSTONE
 check rejected claim.pml -DRETRY_SENT
-[ "$failed" -eq 0 ] && echo "model: 10 passed, 0 failed" || { echo "model: FAILED"; exit 1; }
+check holds share.pml
+check rejected share.pml -DNO_SETTLE
+check rejected share.pml -DNO_RETENTION
+[ "$failed" -eq 0 ] && echo "model: 13 passed, 0 failed" || { echo "model: FAILED"; exit 1; }
