fix: choose an endpoint of a plain service and record the send in one step

What callers would see: calls that arrive at one entry VM at the same moment each find its share of a cold endpoint unused, and all are sent there. Each call runs by itself, and between the choice and the recording of its flight another one may choose. Prompts are placed by one goroutine and are not concerned.

--- a/internal/decision/divider/divider.go
+++ b/internal/decision/divider/divider.go
@@ -1,11 +1,13 @@
-// Package divider divides a limit that holds for the whole fleet among its entry VMs. The shares follow from who the members are, and from nothing that happens
-// between them, so that their sum keeps the limit however late members hear of each
-// other's requests.
+// Package divider divides a limit that holds for the whole fleet among its entry VMs.
+// The shares follow from who the members are, and from nothing that happens between
+// them, so that their sum keeps the limit however late members hear of each other's
+// requests.
 //
 // A limit is divided among the failure domains first, which is the same at all entry
 // VMs, and within a domain among its entry VMs. If there are fewer requests than entry
-// VMs, some get one and the others none; which ones differs between endpoints. An
-// entry VM that knows a member too many takes less than its share, never more.
+// VMs, some get one and the others none; which ones differs between keys, such as
+// endpoints. An entry VM that knows a member too many takes less than its share, never
+// more.
 package divider
 
 import (
@@ -24,9 +26,9 @@
 
 	mu    sync.Mutex
 	view  ml.Membership
-	self  uint64
-	peers []uint64 // hashes of view.Peers
-	ranks map[string]rank
+	self  uint64          // hash of view.Self
+	peers []uint64        // hashes of view.Peers
+	ranks map[string]rank // by key, for view
 }
 
 // rank is the place of this entry VM in the order that a key gives to the failure
@@ -62,7 +64,7 @@
 	return share
 }
 
-// setView drops what was computed for another view.
+// setView sets the view, and drops what was computed for an earlier one.
 func (di *Divider) setView(view ml.Membership) {
 	if di.ranks != nil && di.view.Version == view.Version {
 		return
@@ -75,6 +77,7 @@
 	di.ranks = make(map[string]rank)
 }
 
+// rank computes the place of this entry VM in the order that a key gives.
 func (di *Divider) rank(key string) rank {
 	keyHash := xxhash.Sum64String(key)
 	domains := make([]uint64, len(di.Domains))
--- a/internal/duty/forwarder/cold_rate_test.go
+++ b/internal/duty/forwarder/cold_rate_test.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -245,3 +247,31 @@
 		t.Error("the stream is taken from its engine, but could not go on at the other one")
 	}
 }
+
+// TestServiceShareTakenOnce guards against calls to a plain service that are placed at
+// the same moment and take the same part of this entry VM's share.
+func TestServiceShareTakenOnce(t *testing.T) {
+	const rounds, calls, share = 100, 64, 1
+	for range rounds {
+		cf := newColdFleet(1, 1, 1)
+		fo, now := cf.all[0], cf.start.Add(time.Minute)
+		fo.ColdOverage, fo.ColdSlack = 1, 0
+		placed := atomic.Int64{}
+		wg, begin := sync.WaitGroup{}, make(chan struct{})
+		for range calls {
+			wg.Go(func() {
+				rq := request(1)
+				rq.Spec.ColdRate, rq.Spec.Engine = share, nil
+				<-begin
+				if fo.chooseService(now, rq) != nil {
+					placed.Add(1)
+				}
+			})
+		}
+		close(begin)
+		wg.Wait()
+		if n := placed.Load(); n != share {
+			t.Fatalf("%d calls were placed at once, the share is %d", n, share)
+		}
+	}
+}
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -88,6 +88,7 @@
 	queue              queue
 	peerPlaceableSince map[ml.FlightID]time.Time // since when peer requests could have been placed; used by Run only
 	lastFlightNumber   atomic.Int64              // last number used in a flight id
+	choosing           sync.Mutex                // held by chooseService until the flight is recorded
 	mu                 sync.Mutex
 	retryBudgets       map[ml.ServiceName]*budgeter.Budgeter
 }
--- a/internal/duty/forwarder/service.go
+++ b/internal/duty/forwarder/service.go
@@ -32,6 +32,8 @@
 }
 
 func (fo *Forwarder) chooseService(now time.Time, rq *Request) *placement {
+	fo.choosing.Lock()
+	defer fo.choosing.Unlock()
 	flights := fo.Tracker.Flights(now)
 	candidates := []placer.ServiceCandidate{}
 	for _, li := range fo.Catalog.Usable(now, rq.Service) {
@@ -46,8 +48,10 @@
 		return nil
 	}
 	ep := candidates[at].Endpoint
+	pl := &placement{lead: ep, usable: len(candidates), recentSends: fo.Tracker.RecentSends(now, ep.ID)}
 	fl := ml.Flight{ID: fo.newFlightID(), Endpoint: ep.ID, SentAt: now, FirstEventTarget: rq.FirstEventTarget}
 	fo.Tracker.AddFlight(now, fl)
 	fo.Detector.RecordSend(now, ep.ID, ep.Incarnation)
-	return &placement{lead: ep, flights: []ml.FlightID{fl.ID}, usable: len(candidates)}
+	pl.flights = []ml.FlightID{fl.ID}
+	return pl
 }
