fix: leave an engine of serve that sends lines without an event

What callers would see: a completion that waits until its deadline while its engine sends comments or blank lines without end, read at full speed.

Evidence: TestBytesWithoutEvent with the bound switched off reads all of 32 MiB. Heads are bounded by net/http's Transport, answers of plain services by 16 MiB or less.

Change: 1 MiB between two events.

--- a/internal/adapter/streamer/event.go
+++ b/internal/adapter/streamer/event.go
@@ -15,6 +15,12 @@
 // maxLineBytes bounds one line of an event stream. An event has one data line.
 const maxLineBytes = 1 << 20
 
+// maxIdleBytes bounds what an engine may send between two events.
+const maxIdleBytes = 1 << 20
+
+// errNoEvent means that an engine sent bytes that are no event and did not stop.
+var errNoEvent = errors.New("bytes without an event")
+
 // errTruncated means that the stream ended before the token with a finish reason.
 var errTruncated = errors.New("the stream ended early")
 
@@ -60,9 +66,16 @@
 
 // Next implements ml.Stream.
 func (er *eventReader) Next() (ml.Chunk, error) {
+	idleBytes := 0
 	for er.scanner.Scan() {
-		data, found := bytes.CutPrefix(er.scanner.Bytes(), []byte("data: "))
+		line := er.scanner.Bytes()
+		data, found := bytes.CutPrefix(line, []byte("data: "))
+		if !found {
+			idleBytes += len(line) + 1
+		}
 		switch {
+		case idleBytes > maxIdleBytes:
+			return ml.Chunk{}, er.wrap(errNoEvent)
 		case !found:
 		case bytes.Equal(data, []byte("[DONE]")) && er.finished:
 			er.drain()
--- a/internal/adapter/streamer/event_test.go
+++ b/internal/adapter/streamer/event_test.go
@@ -53,3 +53,19 @@
 		}
 	})
 }
+
+// TestBytesWithoutEvent guards against an engine that sends lines that are no event and
+// never stops.
+func TestBytesWithoutEvent(t *testing.T) {
+	const sentBytes, maxReadBytes = 32 << 20, 2 << 20
+	for name, line := range map[string]string{"comments": ": x\n", "blank lines": "\n", "other fields": "retry: 1\n"} {
+		t.Run(name, func(t *testing.T) {
+			text := strings.NewReader(strings.Repeat(line, sentBytes/len(line)))
+			er := newEventReader(&http.Response{Header: http.Header{}, Body: io.NopCloser(text)}, "e", 0)
+			_, err := er.Next()
+			if read := sentBytes - text.Len(); !errors.Is(err, errNoEvent) || read > maxReadBytes {
+				t.Errorf("left after %d bytes with %v, want at most %d", read, err, maxReadBytes)
+			}
+		})
+	}
+}
