test: split the forwarder's tests by subject

forwarder_test.go had grown to 300 lines with the doubles of all other test files, and cold_rate_test.go held what has to do with shares but not with the simulated fleet.

--- a/internal/duty/forwarder/cold_rate_test.go
+++ b/internal/duty/forwarder/cold_rate_test.go
@@ -6,8 +6,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -210,68 +208,3 @@
 	}
 	return n
 }
-
-// TestRetryBudgetOfFleet guards against entry VMs that together retry more than the
-// budget of the fleet allows, when requests fail at all of them in the same window.
-func TestRetryBudgetOfFleet(t *testing.T) {
-	const burst = 150
-	cf := newColdFleet(3, 29, 0)
-	retries := 0
-	for _, fo := range cf.all {
-		fo.RetryBurst = burst
-		for range burst {
-			if fo.allowRetry(cf.start, "lm") {
-				retries++
-			}
-		}
-	}
-	if retries != burst {
-		t.Errorf("the entry VMs retry %d times without new requests, want %d", retries, burst)
-	}
-}
-
-// TestResumeNeedsShare guards against a stream that is taken from its silent engine
-// although the share of every other engine is used: it could not go on anywhere.
-func TestResumeNeedsShare(t *testing.T) {
-	cf := newColdFleet(1, 1, 2)
-	fo, now := cf.all[0], cf.start.Add(time.Minute)
-	rq := request(12)
-	rq.Spec.ColdRate = 1
-	fo.ColdOverage, fo.ColdSlack = 1, 0
-	rq.Arrived, rq.FirstEventDeadline = now, now.Add(4*time.Second)
-	if !fo.canResumeElsewhere(now, rq, "e0") {
-		t.Fatal("the stream can't go on at the other engine")
-	}
-	fo.Tracker.AddFlight(now, ml.Flight{ID: "f", Endpoint: "e1", SentAt: now})
-	if fo.canResumeElsewhere(now, rq, "e0") {
-		t.Error("the stream is taken from its engine, but could not go on at the other one")
-	}
-}
-
-// TestServiceShareTakenOnce guards against calls to a plain service that are placed at
-// the same moment and take the same part of this entry VM's share.
-func TestServiceShareTakenOnce(t *testing.T) {
-	const rounds, calls, share = 100, 64, 1
-	for range rounds {
-		cf := newColdFleet(1, 1, 1)
-		fo, now := cf.all[0], cf.start.Add(time.Minute)
-		fo.ColdOverage, fo.ColdSlack = 1, 0
-		placed := atomic.Int64{}
-		wg, begin := sync.WaitGroup{}, make(chan struct{})
-		for range calls {
-			wg.Go(func() {
-				rq := request(1)
-				rq.Spec.ColdRate, rq.Spec.Engine = share, nil
-				<-begin
-				if fo.chooseService(now, rq) != nil {
-					placed.Add(1)
-				}
-			})
-		}
-		close(begin)
-		wg.Wait()
-		if n := placed.Load(); n != share {
-			t.Fatalf("%d calls were placed at once, the share is %d", n, share)
-		}
-	}
-}
--- a/internal/duty/forwarder/forwarder_test.go
+++ b/internal/duty/forwarder/forwarder_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,55 +12,10 @@
 	"github.com/onsi/gomega"
 
 	ml "github.com/mulberrylever/mulberrylever"
-	"github.com/mulberrylever/mulberrylever/internal/decision/detector"
 	"github.com/mulberrylever/mulberrylever/internal/decision/placer"
-	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
 	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
 )
 
-// engineDecoder decodes each record as a live engine of the service "lm".
-type engineDecoder struct{}
-
-func (engineDecoder) Config(ml.KeyRecord) (ml.ServingConfig, bool, error) {
-	return ml.ServingConfig{}, false, nil
-}
-func (engineDecoder) Domain(ml.KeyRecord) (ml.DomainID, bool) { return "", false }
-func (engineDecoder) Endpoint(re ml.KeyRecord) (ml.ListedEndpoint, bool, error) {
-	return ml.ListedEndpoint{Endpoint: ml.Endpoint{ID: ml.EndpointID(re.Key), Service: "lm", State: ml.StateLive}}, true, nil
-}
-
-// silentExchanger never answers. It counts the requests sent and those cancelled.
-type silentExchanger struct{ sent, cancelled *atomic.Int64 }
-
-func (se silentExchanger) Exchange(ctx context.Context, _ ml.ListedEndpoint, _ *ml.OutboundRequest) (*ml.Answer, error) {
-	se.sent.Add(1)
-	<-ctx.Done()
-	se.cancelled.Add(1)
-	return nil, ctx.Err()
-}
-
-func (silentExchanger) ReserveMemory(context.Context, ml.ListedEndpoint, ml.HoldID, ml.Tokens, time.Duration) error {
-	return nil
-}
-
-func (silentExchanger) ReleaseMemory(context.Context, ml.ListedEndpoint, ml.HoldID) error { return nil }
-
-// noMeter discards metrics.
-type noMeter struct{}
-
-func (noMeter) Finished(*Request, string, time.Duration)          {}
-func (noMeter) Placed(*Request, time.Duration)                    {}
-func (noMeter) Sent(*Request, int)                                {}
-func (noMeter) FirstEvent(*Request, time.Duration, time.Duration) {}
-
-// discardResponder discards responses.
-type discardResponder struct{}
-
-func (discardResponder) Begin(int, http.Header, int64) error { return nil }
-func (discardResponder) Write([]byte) error                  { return nil }
-func (discardResponder) Refuse(ml.Refusal)                   {}
-func (discardResponder) Abort()                              {}
-
 // TestOneFreeSlot guards against several entry VMs filling the same free slot. One
 // request waits at each of them when one slot of an engine becomes free, and all
 // learn of it at the same time, as in a burst of short prompts.
@@ -177,47 +131,6 @@
 	g.Expect(pr.FirstEventDeadline).To(gomega.BeTemporally("==", rq.lastEventAt.Add(2*time.Second)))
 }
 
-func newForwarder(ctx context.Context, self ml.VMID, sent *atomic.Int64) *Forwarder {
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	fo := &Forwarder{
-		Self: self, StartedAt: time.Now(), Exchanger: silentExchanger{sent, &atomic.Int64{}}, Catalog: &cataloger.Cataloger{Decoder: engineDecoder{}, Log: log}, Tracker: &tracker.Tracker{},
-		Detector: &detector.Detector{}, Log: log, Metrics: noMeter{}, NotifyPeers: func() {},
-	}
-	fo.Tracker.OnChange = fo.Wake
-	fo.Catalog.Merge(time.Now(), []ml.KeyRecord{{Topic: "t", Key: "e", Value: []byte("x")}}, nil)
-	go func() { _ = fo.Run(ctx) }()
-	return fo
-}
-
-// share delivers the changes of each entry VM to all others, as the sharer does.
-func share(ctx context.Context, all []*Forwarder) {
-	for ctx.Err() == nil {
-		for _, from := range all {
-			sm, found := from.Tracker.TakeChanges()
-			if !found {
-				continue
-			}
-			sm.From = from.Self
-			for _, to := range all {
-				if to != from {
-					to.Tracker.ApplyPeerUpdate(time.Now(), sm)
-				}
-			}
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
-func request(slots int) *Request {
-	now := time.Now()
-	spec := &ml.ServiceSpec{Name: "lm", Engine: &ml.EngineProfile{Slots: slots, Memory: 100_000, StepsPerPass: 10, Chunk: 2048, Step: time.Millisecond, PrefillRate: 100_000}}
-	return &Request{
-		Route:   &ml.Route{Kind: ml.RouteStream, Resumable: true, MaxAttempts: 2, Target: 20 * time.Second, GapTarget: time.Second},
-		Service: "lm", Spec: spec, Prompt: 1000, Answer: 100, Arrived: now, FirstEventTarget: now.Add(20 * time.Second),
-		FirstEventDeadline: now.Add(40 * time.Second), Deadline: now.Add(40 * time.Second),
-	}
-}
-
 // TestLateRequestsSortLast checks the order when a burst of short prompts has filled
 // all slots. A request that has waited too long to be in time at a busy engine comes
 // after those that still can be, even if an idle engine could serve it in time.
@@ -233,21 +146,6 @@
 	g.Expect([]ml.FlightID{items[0].id, items[1].id, items[2].id}).To(gomega.Equal([]ml.FlightID{"next", "new", "late"}))
 }
 
-// engineProfile describes an engine that processes 177 prompt tokens in a millisecond.
-func engineProfile() *ml.EngineProfile {
-	return &ml.EngineProfile{
-		Slots: 16, Memory: 315_000, StepsPerPass: 51, Chunk: 2048, Step: 850 * time.Microsecond, StepPerSequence: 4 * time.Microsecond,
-		StepPerKiloToken: 3 * time.Microsecond, PrefillRate: 177_000, PrefillPerMillionPairs: 184 * time.Microsecond,
-	}
-}
-
-// unreachable is an endpoint that refuses connections.
-type unreachable struct{ silentExchanger }
-
-func (unreachable) Exchange(context.Context, ml.ListedEndpoint, *ml.OutboundRequest) (*ml.Answer, error) {
-	return nil, &ml.Error{Type: ml.ErrUnavailable, Step: "dial", NotRun: true, Err: io.ErrClosedPipe}
-}
-
 // TestUnreachableIsShared checks that an entry VM that can't reach an engine reports
 // this to the others. Otherwise each of them would send a request there first.
 func TestUnreachableIsShared(t *testing.T) {
@@ -286,20 +184,3 @@
 	update(second)
 	g.Eventually(sent.Load, "2s", "2ms").Should(gomega.Equal(int64(1)))
 }
-
-// TestKnownColdRate checks that an engine that may be cold gets no more requests than a
-// cold one sustains, if they are known.
-func TestKnownColdRate(t *testing.T) {
-	g := gomega.NewWithT(t)
-	now := time.Now()
-	fo := &Forwarder{Tracker: &tracker.Tracker{}}
-	rq := request(16)
-	rq.Spec.ColdRate = 15
-	li := cataloger.Listing{ListedEndpoint: ml.ListedEndpoint{Endpoint: ml.Endpoint{ID: "e"}}}
-	for i := range 15 {
-		g.Expect(fo.coldRateReached(now, rq, li)).To(gomega.BeFalse())
-		fo.Tracker.AddFlight(now, ml.Flight{ID: ml.FlightID(fmt.Sprint(i)), Endpoint: "e", SentAt: now})
-	}
-	g.Expect(fo.coldRateReached(now, rq, li)).To(gomega.BeTrue())
-	g.Expect(fo.coldRateReached(now.Add(time.Second), rq, li)).To(gomega.BeFalse())
-}
