refactor: plain names in the divider

rank was a type, a method and a parameter. The type stays; the method is computeRank, and divide, with holders and an index, takes the place of part. No change of behaviour: the tests of the sum and of the spread pass unchanged.

--- a/internal/decision/divider/divider.go
+++ b/internal/decision/divider/divider.go
@@ -31,8 +31,8 @@
 	ranks map[string]rank // by key, for view
 }
 
-// rank is the place of this entry VM in the order that a key gives to the failure
-// domains, and within them to the entry VMs.
+// rank is the place, from 0, of this entry VM in the order that a key gives to the
+// failure domains, and within them to the entry VMs.
 type rank struct {
 	domain, member int
 }
@@ -44,21 +44,21 @@
 	di.setView(view)
 	ra, known := di.ranks[key]
 	if !known {
-		ra = di.rank(key)
+		ra = di.computeRank(key)
 		di.ranks[key] = ra
 	}
-	ofDomain := part(limit, len(di.Domains), ra.domain)
-	return part(ofDomain, 1+len(di.peers), ra.member)
+	ofDomain := divide(limit, len(di.Domains), ra.domain)
+	return divide(ofDomain, 1+len(di.peers), ra.member)
 }
 
-// part returns the part of the one at a rank when n are divided among parts. Those
-// that rank first get what remains.
-func part(n, parts, rank int) int {
-	if parts <= 1 {
+// divide returns what the holder with an index gets when n is divided among a number
+// of holders. The remainder goes to the first ones, one each.
+func divide(n, holders, index int) int {
+	if holders <= 1 {
 		return n
 	}
-	share := n / parts
-	if rank < n%parts {
+	share := n / holders
+	if index < n%holders {
 		share++
 	}
 	return share
@@ -77,8 +77,8 @@
 	di.ranks = make(map[string]rank)
 }
 
-// rank computes the place of this entry VM in the order that a key gives.
-func (di *Divider) rank(key string) rank {
+// computeRank computes the rank for a key.
+func (di *Divider) computeRank(key string) rank {
 	keyHash := xxhash.Sum64String(key)
 	domains := make([]uint64, len(di.Domains))
 	for i, do := range di.Domains {
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -73,7 +73,7 @@
 	PropagationDelay func() time.Duration
 
 	// Membership returns the view of the entry VMs among which Divider divides the
-	// rates of cold endpoints. Nil means that there are no others.
+	// rates of cold endpoints and RetryBurst. Nil means that there are no others.
 	Membership func(now time.Time) ml.Membership
 	Divider    *divider.Divider
 	// ColdOverage times the rate that a cold endpoint sustains, and ColdSlack more, is
