feat: log the prompt parts and the events of an attempt that failed

No line of ours told requests with something in common from one request sent again and again, or from engines that are overrun: none had the parts of a prompt, and none said whether a failed attempt had begun to be answered.

The line "failed" has them, with the events of that attempt and the engine's incarnation; explain prints it. No decision uses them yet.

--- a/ids.go
+++ b/ids.go
@@ -69,6 +69,10 @@
 	return Tokens((len(text) + BytesPerToken - 1) / BytesPerToken)
 }
 
+// PartID identifies a part of a prompt, such as a system prompt or a document. The
+// prompts of several requests may contain the same part.
+type PartID string
+
 // Offset is a position in the platform's log or in a topic of its store.
 type Offset int64
 
--- a/internal/command/explainer/explainer.go
+++ b/internal/command/explainer/explainer.go
@@ -36,6 +36,8 @@
 	Sends              int       `json:"sends"`
 	Runs               int       `json:"runs"`
 	LastEventID        int       `json:"after"`
+	AttemptEvents      int       `json:"attemptEvents"`
+	Parts              []string  `json:"parts"`
 	Candidates         int       `json:"seen"`
 	QueueWaitMs        int       `json:"waitedMs"`
 	FirstEventMs       int       `json:"firstMs"`
@@ -152,6 +154,8 @@
 		return fmt.Sprintf("first event from %s after %d ms (predicted %d ms)", ln.Endpoint, ln.DurationMs, ln.PredictedMs)
 	case "again":
 		return fmt.Sprintf("retried (sent %d times, may have run %d times, caller has events up to %d): %s", ln.Sends, ln.Runs, ln.LastEventID, ln.reasonText())
+	case "failed":
+		return fmt.Sprintf("failed at %s after %d events: %s; shared parts of the prompt: %s", ln.Endpoint, ln.AttemptEvents, ln.Reason, strings.Join(ln.Parts, ", "))
 	case "refused":
 		return fmt.Sprintf("refused with %d: %s", ln.Status, ln.Reason)
 	case "ended":
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -38,7 +38,8 @@
 	Service            ml.ServiceName
 	Spec               *ml.ServiceSpec // nil if the configuration does not describe the service
 	Prompt             ml.Tokens
-	Answer             ml.Tokens // expected
+	Parts              []ml.PartID // of the prompt, those that other requests may share
+	Answer             ml.Tokens   // expected
 	Arrived            time.Time
 	FirstEventTarget   time.Time // objective for the response, or for a stream's first event
 	FirstEventDeadline time.Time // when the caller stops waiting for it
@@ -111,6 +112,7 @@
 	done          bool // the response to the caller is complete or was aborted
 	notRun        bool // certain that this attempt did not run
 	received      bool // the endpoint received, or may have received, the request
+	events        int  // events of a stream that were received
 	reason        string
 	err           error
 	errorResponse *bufferedResponse // error response of the endpoint, forwarded if no later attempt succeeds
@@ -208,6 +210,8 @@
 		fo.Detector.Record(now, pl.lead.ID, pl.lead.Incarnation, detector.PeerFailed)
 	default:
 		fo.Detector.Record(now, pl.lead.ID, pl.lead.Incarnation, detector.Failed)
+		fo.Log.Info("failed", "request", rq.Outgoing.Attempt, "endpoint", pl.lead.ID, "incarnation", pl.lead.Incarnation,
+			"reason", ar.reason, "attemptEvents", ar.events, "parts", rq.Parts)
 		if rq.Route.Kind == ml.RouteStream {
 			fo.Tracker.RecordFailure(pl.lead.ID)
 		}
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -114,19 +114,17 @@
 		return attemptResult{received: true, reason: "stream without receipt", err: errNoSeal}
 	}
 	in := bufio.NewReader(an.Body)
-	first := true
-	for {
+	for events := 0; ; events++ {
 		ev, err := rq.nextEvent(in)
 		if errors.Is(err, io.EOF) {
 			return fo.finishStream(rq, rs, an, ev.raw)
 		}
 		if err != nil {
-			return attemptResult{received: true, reason: "stream broke off: " + failureReason(ctx, err), err: err}
+			return attemptResult{received: true, events: events, reason: "stream broke off: " + failureReason(ctx, err), err: err}
 		}
 		now := time.Now()
-		if first {
+		if events == 0 {
 			fo.recordFirstEvent(rq, pl, now.Sub(sent))
-			first = false
 		}
 		fo.Tracker.RecordEvent(now, pl.flights[0])
 		wd.Reset(wd.gapTimeout)
@@ -135,7 +133,7 @@
 				rs.Abort()
 				return attemptResult{done: true, received: true, reason: "caller left"}
 			}
-			return attemptResult{received: true, reason: "stream out of order", err: err}
+			return attemptResult{received: true, events: events, reason: "stream out of order", err: err}
 		}
 	}
 }
