test: a part of prompts crashes one engine after another, red

The scripts play entry VMs before engines that end when they begin to answer a prompt with that part, in simulated time, and compare with the users' bounds: three sends from 3 s after the fifth crash on, and sound requests that begin at the first attempt half as often as before at least.

--- /dev/null
+++ b/internal/duty/forwarder/crash_test.go
@@ -0,0 +1,353 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/detector"
+	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
+	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
+)
+
+// The bounds of the users: requests with a part that crashes engines may be sent
+// maxCrashingSends times later than crashSettleTime after the fifth crash.
+const (
+	maxCrashingSends = 3
+	crashSettleTime  = 3 * time.Second
+	crashesToSettle  = 5
+)
+
+// crashDay is a day of requests, of which some have a part that crashes engines.
+type crashDay struct {
+	domains, perDomain int
+	engines            int
+	sound, crashing    int // requests per second
+	newsMs             int // delay of news between entry VMs
+}
+
+// crashingPart is the part that crashes engines.
+const crashingPart = ml.PartID("bad")
+
+// crashFleet is a fleet of entry VMs before engines that end when they begin to answer
+// a prompt with crashingPart. Time is simulated.
+type crashFleet struct {
+	crashDay
+	ctx context.Context
+	wg  sync.WaitGroup
+
+	mu         sync.Mutex
+	random     *rand.Rand
+	all        []*Forwarder
+	engineByID map[ml.EndpointID]*crashEngine
+	lastOffset ml.Offset
+	lastNumber int
+	crashes    []time.Time // of engines, because of crashingPart
+	sends      []time.Time // of requests with crashingPart, as they reach engines
+	results    []soundResult
+}
+
+// crashEngine is an engine of a crashFleet.
+type crashEngine struct {
+	id    ml.EndpointID
+	ended bool
+	open  map[*io.PipeWriter]bool // answers that are being written
+}
+
+// soundResult tells how a request without crashingPart began.
+type soundResult struct {
+	at           time.Time
+	firstAttempt bool // it began to be answered at the first attempt
+}
+
+func newCrashFleet(ctx context.Context, cd crashDay) *crashFleet {
+	cf := &crashFleet{crashDay: cd, ctx: ctx, random: rand.New(rand.NewPCG(1, 2)), engineByID: make(map[ml.EndpointID]*crashEngine)}
+	for i := range cd.domains * cd.perDomain {
+		cf.all = append(cf.all, cf.newEntry(i))
+	}
+	for range cd.engines {
+		cf.startEngine()
+	}
+	return cf
+}
+
+func (cf *crashFleet) newEntry(i int) *Forwarder {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	fo := &Forwarder{
+		Self: ml.VMID(fmt.Sprint("vm", i)), StartedAt: time.Now(), Domain: ml.DomainID(fmt.Sprint("d", i%cf.domains)), Exchanger: crashExchanger{cf},
+		Catalog: &cataloger.Cataloger{Decoder: engineDecoder{}, Log: log}, Tracker: &tracker.Tracker{}, Detector: &detector.Detector{},
+		Log: log, Metrics: noMeter{}, NotifyPeers: func() {}, RetryPerCent: 18, RetryBurst: 60,
+	}
+	fo.Tracker.OnChange = fo.Wake
+	cf.wg.Go(func() { _ = fo.Run(cf.ctx) })
+	return fo
+}
+
+// startEngine starts an engine and lists it at all entry VMs.
+func (cf *crashFleet) startEngine() {
+	cf.mu.Lock()
+	cf.lastNumber++
+	en := &crashEngine{id: ml.EndpointID(fmt.Sprint("e", cf.lastNumber)), open: make(map[*io.PipeWriter]bool)}
+	cf.engineByID[en.id] = en
+	cf.mu.Unlock()
+	cf.list(en.id, []byte("x"))
+}
+
+// list writes an engine's record, or deletes it if the value is nil.
+func (cf *crashFleet) list(id ml.EndpointID, value []byte) {
+	cf.mu.Lock()
+	cf.lastOffset++
+	re := ml.KeyRecord{Topic: "t", Key: string(id), Value: value, Offset: cf.lastOffset}
+	cf.mu.Unlock()
+	for _, fo := range cf.all {
+		fo.Catalog.Merge(time.Now(), []ml.KeyRecord{re}, nil)
+		fo.Wake()
+	}
+}
+
+// end ends an engine's process. Its answers break off. Later its record expires, and
+// another engine starts. The caller must hold cf.mu.
+func (cf *crashFleet) end(en *crashEngine) {
+	const heartbeatTimeout, restartTime = 3600 * time.Millisecond, time.Second
+	en.ended = true
+	for pw := range en.open {
+		_ = pw.CloseWithError(io.ErrUnexpectedEOF)
+	}
+	cf.wg.Go(func() {
+		time.Sleep(heartbeatTimeout)
+		cf.list(en.id, nil)
+		time.Sleep(restartTime)
+		cf.startEngine()
+	})
+}
+
+// intBetween returns a random number from low up to, and not including, high.
+func (cf *crashFleet) intBetween(low, high int) int {
+	cf.mu.Lock()
+	defer cf.mu.Unlock()
+	return low + cf.random.IntN(high-low)
+}
+
+// crashExchanger sends requests to the engines of a crashFleet.
+type crashExchanger struct{ *crashFleet }
+
+// headerParts holds the parts of a prompt in these tests.
+const headerParts = "Parts"
+
+// Exchange implements ml.Exchanger.
+func (ce crashExchanger) Exchange(_ context.Context, ep ml.ListedEndpoint, out *ml.OutboundRequest) (*ml.Answer, error) {
+	time.Sleep(2 * time.Millisecond)
+	ce.mu.Lock()
+	defer ce.mu.Unlock()
+	en := ce.engineByID[ep.ID]
+	if en.ended {
+		return nil, &ml.Error{Type: ml.ErrUnavailable, Step: "dial", NotRun: true, Err: io.ErrClosedPipe}
+	}
+	isCrashing := slices.Contains(out.Header[headerParts], string(crashingPart))
+	if isCrashing {
+		ce.sends = append(ce.sends, time.Now())
+	}
+	pr, pw := io.Pipe()
+	en.open[pw] = true
+	ce.wg.Go(func() { ce.answer(en, pw, isCrashing) })
+	return &ml.Answer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Sealed: true, Body: pr, Close: func() { _ = pr.Close() }}, nil
+}
+
+func (crashExchanger) ReserveMemory(context.Context, ml.ListedEndpoint, ml.HoldID, ml.Tokens, time.Duration) error {
+	return nil
+}
+
+func (crashExchanger) ReleaseMemory(context.Context, ml.ListedEndpoint, ml.HoldID) error { return nil }
+
+// answer writes an answer after the prefill. With crashingPart the engine ends instead.
+func (cf *crashFleet) answer(en *crashEngine, pw *io.PipeWriter, isCrashing bool) {
+	const events, eventInterval = 15, 45 * time.Millisecond
+	defer func() {
+		cf.mu.Lock()
+		defer cf.mu.Unlock()
+		delete(en.open, pw)
+		_ = pw.Close()
+	}()
+	time.Sleep(time.Duration(cf.intBetween(60, 250)) * time.Millisecond)
+	cf.mu.Lock()
+	if isCrashing && !en.ended {
+		cf.crashes = append(cf.crashes, time.Now())
+		cf.end(en)
+	}
+	cf.mu.Unlock()
+	for i := range events {
+		if _, err := fmt.Fprintf(pw, "id: %d\ndata: x\n\n", i+1); err != nil {
+			return
+		}
+		time.Sleep(eventInterval)
+	}
+}
+
+// beginResponder records whether an answer began at the first attempt.
+type beginResponder struct {
+	discardResponder
+	rq           *Request
+	firstAttempt bool
+	failed       bool
+}
+
+// Write implements ml.Responder.
+func (br *beginResponder) Write([]byte) error {
+	br.firstAttempt = br.firstAttempt || br.rq.sendCount == 0
+	return nil
+}
+
+// Refuse implements ml.Responder.
+func (br *beginResponder) Refuse(ml.Refusal) { br.failed = true }
+
+// Abort implements ml.Responder.
+func (br *beginResponder) Abort() { br.failed = true }
+
+// send sends one request to a random entry VM and reports whether it failed.
+func (cf *crashFleet) send(parts ...ml.PartID) (soundResult, bool) {
+	now := time.Now()
+	rq := request(16)
+	rq.Route = &ml.Route{Kind: ml.RouteStream, Resumable: true, MaxAttempts: 2, Target: 300 * time.Millisecond, GapTarget: 250 * time.Millisecond}
+	rq.Arrived, rq.FirstEventTarget, rq.FirstEventDeadline, rq.Deadline = now, now.Add(300*time.Millisecond), now.Add(2*time.Second), now.Add(10*time.Second)
+	rq.Parts = parts
+	rq.Outgoing.Header = http.Header{}
+	for _, part := range parts {
+		rq.Outgoing.Header.Add(headerParts, string(part))
+	}
+	br := &beginResponder{rq: rq}
+	cf.all[cf.intBetween(0, len(cf.all))].Forward(cf.ctx, rq, br)
+	return soundResult{now, br.firstAttempt}, br.failed
+}
+
+// shareNews delivers the changes of each entry VM to the others, after a delay.
+func (cf *crashFleet) shareNews() {
+	const interval = 4 * time.Millisecond
+	for cf.ctx.Err() == nil {
+		for _, from := range cf.all {
+			sm, found := from.Tracker.TakeChanges()
+			if !found {
+				continue
+			}
+			sm.From = from.Self
+			cf.wg.Go(func() {
+				time.Sleep(time.Duration(cf.newsMs) * time.Millisecond)
+				for _, to := range cf.all {
+					if to != from {
+						to.Tracker.ApplyPeerUpdate(time.Now(), sm)
+					}
+				}
+			})
+		}
+		time.Sleep(interval)
+	}
+}
+
+// play plays the day: sound requests from the start, and requests with crashingPart,
+// which the callers repeat once, from calm on.
+func (cf *crashFleet) play(calm, duration time.Duration) {
+	const step = 10 * time.Millisecond
+	sound, crashing := 0, 0
+	for begin := time.Now(); time.Since(begin) < duration; time.Sleep(step) {
+		for sound += cf.sound; sound >= int(time.Second/step); sound -= int(time.Second / step) {
+			subject := ml.PartID(fmt.Sprint("subject", cf.intBetween(0, 40)))
+			cf.wg.Go(func() {
+				sr, _ := cf.send("system", subject)
+				cf.mu.Lock()
+				defer cf.mu.Unlock()
+				cf.results = append(cf.results, sr)
+			})
+		}
+		if time.Since(begin) < calm {
+			continue
+		}
+		for crashing += cf.crashing; crashing >= int(time.Second/step); crashing -= int(time.Second / step) {
+			subject := ml.PartID(fmt.Sprint("subject", cf.intBetween(0, 40)))
+			cf.wg.Go(func() {
+				if _, failed := cf.send("system", subject, crashingPart); failed {
+					cf.send("system", subject, crashingPart)
+				}
+			})
+		}
+	}
+}
+
+// judge compares the day with the users' bounds.
+func (cf *crashFleet) judge(calmUntil time.Time) string {
+	cf.mu.Lock()
+	defer cf.mu.Unlock()
+	if len(cf.crashes) == 0 {
+		return "no engine crashed"
+	}
+	decisive := cf.crashes[min(len(cf.crashes), crashesToSettle)-1]
+	out := ""
+	late := 0
+	for _, at := range cf.sends {
+		if at.Sub(decisive) > crashSettleTime {
+			late++
+		}
+	}
+	if late > maxCrashingSends && len(cf.crashes) >= crashesToSettle {
+		out += fmt.Sprintf("BUDGET: %d requests sent to engines after the bound, %d engines crashed\n", late, len(cf.crashes))
+	}
+	calm, after := beginShare(cf.results, time.Time{}, calmUntil), beginShare(cf.results, decisive.Add(2*crashSettleTime), time.Now())
+	if after < calm/2 {
+		out += fmt.Sprintf("LOST: %.2f of the sound requests begin at the first attempt, %.2f on calm days\n", after, calm)
+	}
+	if out == "" {
+		return "within the bounds"
+	}
+	return out
+}
+
+// beginShare returns the share of the requests sent in a period that began to be
+// answered at the first attempt.
+func beginShare(results []soundResult, from, to time.Time) float64 {
+	n, began := 0, 0
+	for _, sr := range results {
+		if sr.at.Before(from) || !sr.at.Before(to) {
+			continue
+		}
+		n++
+		if sr.firstAttempt {
+			began++
+		}
+	}
+	return float64(began) / float64(max(n, 1))
+}
+
+// TestEnginesCrashOneAfterAnother guards against a part of prompts that crashes one
+// engine after another, since its requests go on being sent.
+func TestEnginesCrashOneAfterAnother(t *testing.T) {
+	datadriven.RunTest(t, "testdata/crash", func(t *testing.T, td *datadriven.TestData) string {
+		cd := crashDay{domains: 3, perDomain: 2, engines: 14, sound: 30, crashing: 11, newsMs: 2}
+		td.MaybeScanArgs(t, "perDomain", &cd.perDomain)
+		td.MaybeScanArgs(t, "engines", &cd.engines)
+		td.MaybeScanArgs(t, "sound", &cd.sound)
+		td.MaybeScanArgs(t, "crashing", &cd.crashing)
+		td.MaybeScanArgs(t, "newsMs", &cd.newsMs)
+		out := ""
+		synctest.Test(t, func(*testing.T) {
+			const calm, duration = 5 * time.Second, 25 * time.Second
+			ctx, cancel := context.WithCancel(context.Background())
+			cf := newCrashFleet(ctx, cd)
+			begin := time.Now()
+			cf.wg.Go(cf.shareNews)
+			cf.play(calm, duration)
+			out = cf.judge(begin.Add(calm))
+			cancel()
+			cf.wg.Wait()
+		})
+		return out
+	})
+}
