--- a/exchange.go
+++ b/exchange.go
@@ -47,6 +47,9 @@
 	ReserveMemory(ctx context.Context, ep ListedEndpoint, id HoldID, memory Tokens, term time.Duration) error
 	// ReleaseMemory releases a hold.
 	ReleaseMemory(ctx context.Context, ep ListedEndpoint, id HoldID) error
+	// HasEnded reports whether the endpoint's process has ended: its VM refuses
+	// connections.
+	HasEnded(ctx context.Context, ep ListedEndpoint) bool
 }
 
 // Responder writes the response to a caller.
@@ -76,6 +79,15 @@
 	Offset Offset    `json:"offset"`
 }
 
+// PartRecorder writes records of crashes, and of the parts of prompts that cause them,
+// to the platform's store.
+type PartRecorder interface {
+	// RecordCrash records a crash whose ages are relative to now.
+	RecordCrash(ctx context.Context, now time.Time, sc SharedCrash) error
+	// RecordPart records that a part is blocked, or deletes its record.
+	RecordPart(ctx context.Context, part PartID, blocked bool) error
+}
+
 // TopicName names a topic of the platform's store.
 type TopicName string
 
@@ -91,6 +103,9 @@
 	Ended          []FlightID            `json:"ended,omitempty"`   // finished flights, and requests that left the queue
 	Failed         []EndpointID          `json:"failed,omitempty"`  // endpoints that failed a request
 	Records        []KeyRecord           `json:"records,omitempty"` // changed records of the platform's store
+	Crashes        []SharedCrash         `json:"crashes,omitempty"`
+	Cleared        []PartID              `json:"cleared,omitempty"` // answers with these parts have begun
+	Blocked        []SharedBlock         `json:"blocked,omitempty"` // parts that crash engines
 	KnownAddresses []string              `json:"known,omitempty"`   // addresses of the entry VMs that the sender receives messages from
 	NextOffsets    map[TopicName]Offset  `json:"heads,omitempty"`   // of each topic, next offset that the sender will read
 	Leaving        bool                  `json:"leaving,omitempty"` // the sender is shutting down
@@ -136,6 +151,22 @@
 	Rank                 int64       `json:"o"`
 }
 
+// SharedCrash is the end of an engine's process with a request on it that had not begun
+// to be answered. Ages are milliseconds before the creation of the message.
+type SharedCrash struct {
+	Endpoint    EndpointID  `json:"e"`
+	Incarnation Incarnation `json:"i,omitempty"`
+	Parts       []PartID    `json:"p"` // of the request's prompt, those that other requests may share
+	SentAgeMs   int64       `json:"s"` // when the request was sent
+	AgeMs       int64       `json:"a,omitempty"`
+}
+
+// SharedBlock is a part of prompts that crashes engines.
+type SharedBlock struct {
+	Part  PartID `json:"p"`
+	AgeMs int64  `json:"a"` // since it was blocked
+}
+
 // EncodedMessage is a ShareMessage encoded for the wire.
 type EncodedMessage []byte
 
--- a/internal/adapter/exchanger/exchanger.go
+++ b/internal/adapter/exchanger/exchanger.go
@@ -13,6 +13,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
@@ -134,6 +135,11 @@
 		}
 		ex.discard(co)
 	}
+	return ex.open(ctx, ta)
+}
+
+// open opens a connection.
+func (ex *Exchanger) open(ctx context.Context, ta Target) (*conn, error) {
 	nc, err := dialer.New(dialTimeout).DialContext(ctx, "tcp", ta.Address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNoConnection, err)
@@ -144,6 +150,17 @@
 	return newConn(nc), nil
 }
 
+// Refuses reports whether a target's VM refuses connections, since no process listens
+// there. A connection that could be opened is kept for the next request.
+func (ex *Exchanger) Refuses(ctx context.Context, ta Target) bool {
+	co, err := ex.open(ctx, ta)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	ex.release(ta, co, defaultIdleTimeout)
+	return false
+}
+
 func (ex *Exchanger) popIdle(ta Target) *conn {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
--- /dev/null
+++ b/internal/decision/attributor/attributor.go
@@ -0,0 +1,387 @@
+// Package attributor attributes crashes of engines to parts of prompts. A part on which
+// engines crash one after another, and no answer begins, is blocked: its requests are
+// refused, since each of them would end the next engine and the answers on it.
+//
+// A crash makes all parts suspect whose requests were at the engine and had not begun to
+// be answered, also those of sound requests beside the one that caused it. An answer
+// that has begun clears its parts.
+package attributor
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+)
+
+const (
+	// minSuccessiveCrashes is the number of crashes, each with a request that was sent
+	// after the one before, for which a part is blocked. One crash may have any cause,
+	// and a sound request that is repeated may meet the same cause twice.
+	minSuccessiveCrashes = 3
+	// minCrashes is the number of crashes for which a part is blocked whenever their
+	// requests were sent, if no answer with it has begun within quietTime after that.
+	minCrashes = 5
+	quietTime  = time.Second
+	// gatherTime is the time after a crash in which the other entry VMs report their
+	// requests at the engine. No part is blocked before, and requests with one that may
+	// have to be blocked wait.
+	gatherTime = 300 * time.Millisecond
+	// crashRetention is how long a crash counts.
+	crashRetention = 10 * time.Minute
+	// maxCrashes bounds the crashes that are kept, and maxBegunParts the parts whose
+	// answers are remembered.
+	maxCrashes, maxBegunParts = 256, 4096
+	// minTrialInterval is the time after which a request with a blocked part is sent as
+	// a trial. It doubles with each trial, up to maxTrialInterval.
+	minTrialInterval, maxTrialInterval = time.Minute, time.Hour
+	// recentAnswers is the number of answers that are remembered to tell whether any
+	// without a part has begun.
+	recentAnswers = 16
+)
+
+// Attributor holds the crashes and the blocked parts that one entry VM knows of. The
+// zero value is ready to use. It is safe for concurrent use.
+type Attributor struct {
+	// OnChange is called without locks held when a part is blocked or cleared. It may
+	// be nil.
+	OnChange func(ch Change)
+
+	mu       sync.Mutex
+	crashes  map[crashID]*crash
+	begun    map[ml.PartID]time.Time // when an answer of this entry VM with a part last began
+	answers  []answer                // of this entry VM, the newest last
+	blocked  map[ml.PartID]*block
+	cleared  map[ml.PartID]time.Time // when a part that was suspect or blocked was cleared
+	recorded map[ml.PartID]bool      // the parts that are blocked according to the platform's store
+
+	undecided map[ml.PartID]time.Time // parts that may have to be blocked, and when that is decided
+}
+
+// Change is a part that was blocked or cleared.
+type Change struct {
+	Part    ml.PartID
+	Blocked bool
+	Source  Source
+	Crashes []ml.EndpointID // engines that crashed on it, if known here
+}
+
+// Source tells from where an entry VM knows of a change.
+type Source string
+
+// The sources of changes.
+const (
+	FromCrashes Source = "crashes" // found from crashes
+	FromAnswer  Source = "answer"  // an answer with the part has begun
+	FromPeer    Source = "peer"    // another entry VM has reported it
+	FromStore   Source = "store"   // the platform's store has a record of it
+)
+
+// crashID identifies the end of one incarnation of an engine.
+type crashID struct {
+	endpoint    ml.EndpointID
+	incarnation ml.Incarnation
+}
+
+// crash is the end of an engine's process.
+type crash struct {
+	at     time.Time
+	sentAt map[ml.PartID]time.Time // when the last request with a suspect part was sent
+}
+
+// answer is an answer that has begun.
+type answer struct {
+	at    time.Time
+	parts []ml.PartID
+}
+
+// block is the state of a blocked part.
+type block struct {
+	since         time.Time
+	nextTrial     time.Time
+	trialInterval time.Duration
+}
+
+// RecordCrash records that an engine's process has ended with a request on it that had
+// not begun to be answered.
+func (at *Attributor) RecordCrash(now time.Time, sc ml.SharedCrash) {
+	at.mu.Lock()
+	at.addCrash(now, sc)
+	changes := at.evaluate(now)
+	at.mu.Unlock()
+	at.notify(changes)
+}
+
+func (at *Attributor) addCrash(now time.Time, sc ml.SharedCrash) {
+	id := crashID{sc.Endpoint, sc.Incarnation}
+	crashedAt := now.Add(-time.Duration(sc.AgeMs) * time.Millisecond)
+	cr := at.crashes[id]
+	if cr == nil {
+		at.prune(now)
+		if at.crashes == nil {
+			at.crashes = make(map[crashID]*crash)
+		}
+		cr = &crash{at: crashedAt, sentAt: make(map[ml.PartID]time.Time)}
+		at.crashes[id] = cr
+	}
+	sentAt := cr.at.Add(-time.Duration(sc.SentAgeMs-sc.AgeMs) * time.Millisecond) // so that late reports of a crash agree
+	suspects := sc.Parts
+	if causes := at.blockedOf(sc.Parts); len(causes) > 0 {
+		clear(cr.sentAt)
+		suspects = causes
+	} else if at.isExplained(cr) {
+		return
+	}
+	for _, part := range suspects {
+		if at.begun[part].Before(cr.at) && at.cleared[part].Before(cr.at) && sentAt.After(cr.sentAt[part]) {
+			cr.sentAt[part] = sentAt
+		}
+	}
+}
+
+func (at *Attributor) isBlocked(part ml.PartID) bool { return at.blocked[part] != nil }
+
+// blockedOf returns the parts that are blocked.
+func (at *Attributor) blockedOf(parts []ml.PartID) []ml.PartID {
+	return slices.DeleteFunc(slices.Clone(parts), func(part ml.PartID) bool { return !at.isBlocked(part) })
+}
+
+// isExplained reports whether a request with a blocked part was at the engine that
+// crashed.
+func (at *Attributor) isExplained(cr *crash) bool {
+	for part := range cr.sentAt {
+		if at.isBlocked(part) {
+			return true
+		}
+	}
+	return false
+}
+
+// prune drops crashes that no longer count, and the oldest ones if there are too many.
+func (at *Attributor) prune(now time.Time) {
+	for id, cr := range at.crashes {
+		if now.Sub(cr.at) >= crashRetention {
+			delete(at.crashes, id)
+		}
+	}
+	for len(at.crashes) >= maxCrashes {
+		oldest := crashID{}
+		for id, cr := range at.crashes {
+			if first := at.crashes[oldest]; first == nil || cr.at.Before(first.at) {
+				oldest = id
+			}
+		}
+		delete(at.crashes, oldest)
+	}
+	for part, when := range at.cleared {
+		if now.Sub(when) >= crashRetention {
+			delete(at.cleared, part)
+		}
+	}
+}
+
+// RecordAnswer records that an answer of this entry VM to a prompt with the given parts
+// has begun. It returns those that were suspect or blocked, to be reported to the other
+// entry VMs.
+func (at *Attributor) RecordAnswer(now time.Time, parts []ml.PartID) []ml.PartID {
+	at.mu.Lock()
+	if at.begun == nil || len(at.begun) >= maxBegunParts {
+		at.begun = make(map[ml.PartID]time.Time)
+	}
+	for _, part := range parts {
+		at.begun[part] = now
+	}
+	if at.answers = append(at.answers, answer{now, parts}); len(at.answers) > recentAnswers {
+		at.answers = at.answers[1:]
+	}
+	cleared, changes := at.clear(now, parts, FromAnswer)
+	at.mu.Unlock()
+	at.notify(changes)
+	return cleared
+}
+
+// clear removes parts from the crashes before now and from the blocked ones. It returns
+// those that were suspect or blocked.
+func (at *Attributor) clear(now time.Time, parts []ml.PartID, source Source) ([]ml.PartID, []Change) {
+	out, changes := []ml.PartID{}, []Change{}
+	for _, part := range parts {
+		found := at.isBlocked(part)
+		if found {
+			delete(at.blocked, part)
+			changes = append(changes, Change{Part: part, Source: source})
+		}
+		for _, cr := range at.crashes {
+			if _, suspect := cr.sentAt[part]; suspect && cr.at.Before(now) {
+				delete(cr.sentAt, part)
+				found = true
+			}
+		}
+		if found {
+			out = append(out, part)
+			at.setCleared(now, part)
+		}
+	}
+	return out, changes
+}
+
+func (at *Attributor) setCleared(now time.Time, part ml.PartID) {
+	if at.cleared == nil {
+		at.cleared = make(map[ml.PartID]time.Time)
+	}
+	at.cleared[part] = now
+}
+
+// evaluate blocks the parts to which crashes are attributed, the one with the most
+// evidence first.
+func (at *Attributor) evaluate(now time.Time) []Change {
+	changes := []Change{}
+	for {
+		part, ids := at.mostSuspect(now)
+		if len(ids) == 0 {
+			return changes
+		}
+		ch := Change{Part: part, Blocked: true, Source: FromCrashes}
+		for _, id := range ids {
+			ch.Crashes = append(ch.Crashes, id.endpoint)
+		}
+		at.block(now, now, part)
+		changes = append(changes, ch)
+	}
+}
+
+// block blocks a part. It explains the crashes for which it was suspect, which then no
+// longer count against other parts.
+func (at *Attributor) block(now, since time.Time, part ml.PartID) {
+	for _, cr := range at.crashes {
+		if sentAt, suspect := cr.sentAt[part]; suspect {
+			cr.sentAt = map[ml.PartID]time.Time{part: sentAt}
+		}
+	}
+	if at.blocked == nil {
+		at.blocked = make(map[ml.PartID]*block)
+	}
+	at.blocked[part] = &block{since: since, nextTrial: now.Add(minTrialInterval), trialInterval: minTrialInterval}
+}
+
+// suspect is the evidence against a part.
+type suspect struct {
+	part       ml.PartID
+	crashes    []crashID // in order of time
+	successive int       // crashes, each with a request that was sent after the one before
+	counted    time.Time // newest crash in successive
+	first      time.Time // oldest crash
+	decisive   time.Time // crash number minCrashes, or the newest if there are fewer
+}
+
+// mostSuspect returns the part to block next, with its crashes. There are none if no
+// part is to be blocked. It decides by the crashes of which all entry VMs have reported
+// their requests, and records the parts on which the newer ones may bring a decision.
+func (at *Attributor) mostSuspect(now time.Time) (ml.PartID, []crashID) {
+	reported := at.suspects(now.Add(-gatherTime))
+	for i := range reported {
+		if su := &reported[i]; at.isCause(now, reported, su) {
+			return su.part, su.crashes
+		}
+	}
+	at.undecided = make(map[ml.PartID]time.Time)
+	for _, su := range at.suspects(now) {
+		if su.successive >= minSuccessiveCrashes || len(su.crashes) >= minCrashes {
+			at.undecided[su.part] = su.counted.Add(gatherTime)
+		}
+	}
+	return "", nil
+}
+
+// isCause reports whether crashes are attributed to a part. It must have enough of them,
+// and no other part may account for all of these.
+func (at *Attributor) isCause(now time.Time, all []suspect, su *suspect) bool {
+	others := 0
+	for i := range all {
+		other := &all[i]
+		if other.part == su.part || !other.accountsFor(su) {
+			continue
+		}
+		if len(other.crashes) > len(su.crashes) {
+			return false
+		}
+		others++
+	}
+	if su.successive >= minSuccessiveCrashes && others == 0 && at.answersWithout(su.part, su.first) {
+		return true
+	}
+	return len(su.crashes) >= minCrashes && now.Sub(su.decisive) >= quietTime && at.answersWithout(su.part, su.decisive)
+}
+
+// accountsFor reports whether the part was at all engines at which another one was.
+func (su *suspect) accountsFor(other *suspect) bool {
+	return !slices.ContainsFunc(other.crashes, func(id crashID) bool { return !slices.Contains(su.crashes, id) })
+}
+
+// answersWithout reports whether an answer to a prompt without the part has begun since
+// a time: engines work, but not for this part.
+func (at *Attributor) answersWithout(part ml.PartID, since time.Time) bool {
+	return slices.ContainsFunc(at.answers, func(an answer) bool { return an.at.After(since) && !slices.Contains(an.parts, part) })
+}
+
+// suspects returns the parts that are suspect by the crashes up to a time and not
+// blocked, those with the most evidence first. Of parts with the same evidence, those come first of which this entry
+// VM has never seen an answer begin.
+func (at *Attributor) suspects(until time.Time) []suspect {
+	ids := make([]crashID, 0, len(at.crashes))
+	for id, cr := range at.crashes {
+		if !cr.at.After(until) {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b crashID) int {
+		return cmp.Or(at.crashes[a].at.Compare(at.crashes[b].at), cmp.Compare(a.endpoint, b.endpoint), cmp.Compare(a.incarnation, b.incarnation))
+	})
+	byPart := map[ml.PartID]*suspect{}
+	for _, id := range ids {
+		for part, sentAt := range at.crashes[id].sentAt {
+			if at.isBlocked(part) {
+				continue
+			}
+			su := byPart[part]
+			if su == nil {
+				su = &suspect{part: part}
+				byPart[part] = su
+			}
+			su.add(id, at.crashes[id].at, sentAt)
+		}
+	}
+	out := make([]suspect, 0, len(byPart))
+	for _, su := range byPart {
+		out = append(out, *su)
+	}
+	slices.SortFunc(out, func(a, b suspect) int {
+		return cmp.Or(len(b.crashes)-len(a.crashes), at.begun[a.part].Compare(at.begun[b.part]), cmp.Compare(a.part, b.part))
+	})
+	return out
+}
+
+// add adds the next crash.
+func (su *suspect) add(id crashID, at, sentAt time.Time) {
+	su.crashes = append(su.crashes, id)
+	if su.successive == 0 {
+		su.first = at
+	}
+	if su.successive == 0 || sentAt.After(su.counted) {
+		su.successive++
+		su.counted = at
+	}
+	if len(su.crashes) <= minCrashes {
+		su.decisive = at
+	}
+}
+
+func (at *Attributor) notify(changes []Change) {
+	if at.OnChange == nil {
+		return
+	}
+	for _, ch := range changes {
+		at.OnChange(ch)
+	}
+}
--- /dev/null
+++ b/internal/decision/attributor/block.go
@@ -0,0 +1,167 @@
+package attributor
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+)
+
+// clearPrecedence is how long after a part was cleared a record that it is blocked is
+// taken for an older one.
+const clearPrecedence = 5 * time.Second
+
+// Verdict tells whether a request may be sent.
+type Verdict struct {
+	Blocked    ml.PartID     // the part for which it is refused; empty if it may be sent
+	RetryAfter time.Duration // until the next trial of that part
+	Trial      bool          // it is sent as the trial of a blocked part
+	Wait       time.Duration // it has to wait, since a part may have to be blocked
+}
+
+// Check decides whether a request with the given parts may be sent. A request with a
+// blocked part is sent only as a trial, if one is due and mayTry reports that this entry
+// VM is the one that makes the trials of that part.
+func (at *Attributor) Check(now time.Time, parts []ml.PartID, mayTry func(ml.PartID) bool) Verdict {
+	at.mu.Lock()
+	changes := []Change{}
+	if len(at.undecided) > 0 {
+		changes = at.evaluate(now)
+	}
+	ve := at.check(now, parts, mayTry)
+	at.mu.Unlock()
+	at.notify(changes)
+	return ve
+}
+
+func (at *Attributor) check(now time.Time, parts []ml.PartID, mayTry func(ml.PartID) bool) Verdict {
+	ve := Verdict{}
+	for _, part := range parts {
+		bl := at.blocked[part]
+		switch {
+		case bl == nil:
+			ve.Wait = max(ve.Wait, at.undecided[part].Sub(now))
+		case now.Before(bl.nextTrial) || !mayTry(part):
+			return Verdict{Blocked: part, RetryAfter: max(bl.nextTrial.Sub(now), minTrialInterval)}
+		default:
+			ve.Trial = true
+		}
+	}
+	if ve.Trial && ve.Wait == 0 {
+		at.postponeTrials(now, parts)
+	}
+	return ve
+}
+
+// postponeTrials sets the time of the next trial of blocked parts.
+func (at *Attributor) postponeTrials(now time.Time, parts []ml.PartID) {
+	for _, part := range parts {
+		if bl := at.blocked[part]; bl != nil {
+			bl.trialInterval = min(2*bl.trialInterval, maxTrialInterval)
+			bl.nextTrial = now.Add(bl.trialInterval)
+		}
+	}
+}
+
+// Blocked returns the blocked parts as they are sent to other entry VMs.
+func (at *Attributor) Blocked(now time.Time) []ml.SharedBlock {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	out := []ml.SharedBlock{}
+	for part, bl := range at.blocked {
+		out = append(out, ml.SharedBlock{Part: part, AgeMs: now.Sub(bl.since).Milliseconds()})
+	}
+	slices.SortFunc(out, func(a, b ml.SharedBlock) int { return cmp.Compare(a.Part, b.Part) })
+	return out
+}
+
+// ApplyPeerUpdate applies what another entry VM has reported. It returns the parts that
+// are to be reported as cleared, since their answers have begun here after the crash.
+func (at *Attributor) ApplyPeerUpdate(now time.Time, sm ml.ShareMessage) []ml.PartID {
+	if len(sm.Crashes)+len(sm.Cleared)+len(sm.Blocked) == 0 {
+		return nil
+	}
+	at.mu.Lock()
+	known := []ml.PartID{}
+	for _, sc := range sm.Crashes {
+		at.addCrash(now, sc)
+		crashedAt := now.Add(-time.Duration(sc.AgeMs) * time.Millisecond)
+		for _, part := range sc.Parts {
+			if at.begun[part].After(crashedAt) {
+				known = append(known, part)
+			}
+		}
+	}
+	_, changes := at.clear(now, sm.Cleared, FromPeer)
+	for _, sb := range sm.Blocked {
+		since := now.Add(-time.Duration(sb.AgeMs) * time.Millisecond)
+		if !at.isBlocked(sb.Part) && at.cleared[sb.Part].Before(since) {
+			at.block(now, since, sb.Part)
+			changes = append(changes, Change{Part: sb.Part, Blocked: true, Source: FromPeer})
+		}
+	}
+	changes = append(changes, at.evaluate(now)...)
+	at.mu.Unlock()
+	at.notify(changes)
+	return known
+}
+
+// ApplyRecord applies the record of a part in the platform's store.
+func (at *Attributor) ApplyRecord(now time.Time, part ml.PartID, blocked bool) {
+	at.mu.Lock()
+	changes := []Change{}
+	if at.recorded == nil {
+		at.recorded = make(map[ml.PartID]bool)
+	}
+	at.recorded[part] = blocked
+	switch {
+	case !blocked:
+		delete(at.recorded, part)
+		_, changes = at.clear(now, []ml.PartID{part}, FromStore)
+	case !at.isBlocked(part) && now.Sub(at.cleared[part]) >= clearPrecedence:
+		at.block(now, now, part)
+		changes = append(changes, Change{Part: part, Blocked: true, Source: FromStore})
+	}
+	at.mu.Unlock()
+	at.notify(changes)
+}
+
+// Unrecorded returns the parts whose record in the platform's store differs from what
+// this entry VM knows, with whether they are blocked.
+func (at *Attributor) Unrecorded() map[ml.PartID]bool {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	out := map[ml.PartID]bool{}
+	for part := range at.blocked {
+		if !at.recorded[part] {
+			out[part] = true
+		}
+	}
+	for part := range at.recorded {
+		if !at.isBlocked(part) {
+			out[part] = false
+		}
+	}
+	return out
+}
+
+// RecordWritten records that the platform's store has accepted the record of a part.
+func (at *Attributor) RecordWritten(part ml.PartID, blocked bool) {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	if at.recorded == nil {
+		at.recorded = make(map[ml.PartID]bool)
+	}
+	at.recorded[part] = blocked
+	if !blocked {
+		delete(at.recorded, part)
+	}
+}
+
+// Count returns the number of blocked parts.
+func (at *Attributor) Count() int {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	return len(at.blocked)
+}
--- a/internal/duty/forwarder/crash_test.go
+++ b/internal/duty/forwarder/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -16,7 +17,9 @@
 	"github.com/cockroachdb/datadriven"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/attributor"
 	"github.com/mulberrylever/mulberrylever/internal/decision/detector"
+	"github.com/mulberrylever/mulberrylever/internal/duty/publisher"
 	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
 	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
 )
@@ -35,6 +38,10 @@
 	engines            int
 	sound, crashing    int // requests per second
 	newsMs             int // delay of news between entry VMs
+	other              int // engines that end each second for other reasons
+	together           int // engines that end at once, for other reasons, when the requests with crashingPart begin
+	cut                int // entry VMs that can't reach the others, but the store
+	restartMs          int // time after the first crash at which all entry VMs start anew; 0 for never
 }
 
 // crashingPart is the part that crashes engines.
@@ -50,12 +57,17 @@
 	mu         sync.Mutex
 	random     *rand.Rand
 	all        []*Forwarder
+	stops      []context.CancelFunc // of the processes of all
+	processes  map[*Forwarder]context.Context
 	engineByID map[ml.EndpointID]*crashEngine
 	lastOffset ml.Offset
 	lastNumber int
 	crashes    []time.Time // of engines, because of crashingPart
 	sends      []time.Time // of requests with crashingPart, as they reach engines
 	results    []soundResult
+	wrong      map[ml.PartID]bool // parts other than crashingPart that were blocked
+	stored     map[ml.PartID]bool // blocked parts in the store
+	recorded   []storedCrash      // crashes in the store
 }
 
 // crashEngine is an engine of a crashFleet.
@@ -72,9 +84,13 @@
 }
 
 func newCrashFleet(ctx context.Context, cd crashDay) *crashFleet {
-	cf := &crashFleet{crashDay: cd, ctx: ctx, random: rand.New(rand.NewPCG(1, 2)), engineByID: make(map[ml.EndpointID]*crashEngine)}
+	cf := &crashFleet{
+		crashDay: cd, ctx: ctx, random: rand.New(rand.NewPCG(1, 2)), engineByID: make(map[ml.EndpointID]*crashEngine),
+		processes: make(map[*Forwarder]context.Context), wrong: make(map[ml.PartID]bool), stored: make(map[ml.PartID]bool),
+	}
 	for i := range cd.domains * cd.perDomain {
-		cf.all = append(cf.all, cf.newEntry(i))
+		fo, stop := cf.newEntry(i)
+		cf.all, cf.stops = append(cf.all, fo), append(cf.stops, stop)
 	}
 	for range cd.engines {
 		cf.startEngine()
@@ -82,16 +98,116 @@
 	return cf
 }
 
-func (cf *crashFleet) newEntry(i int) *Forwarder {
+// newEntry starts the process of an entry VM.
+func (cf *crashFleet) newEntry(i int) (*Forwarder, context.CancelFunc) {
+	ctx, stop := context.WithCancel(cf.ctx)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	fo := &Forwarder{
 		Self: ml.VMID(fmt.Sprint("vm", i)), StartedAt: time.Now(), Domain: ml.DomainID(fmt.Sprint("d", i%cf.domains)), Exchanger: crashExchanger{cf},
 		Catalog: &cataloger.Cataloger{Decoder: engineDecoder{}, Log: log}, Tracker: &tracker.Tracker{}, Detector: &detector.Detector{},
-		Log: log, Metrics: noMeter{}, NotifyPeers: func() {}, RetryPerCent: 18, RetryBurst: 60,
+		Attributor: &attributor.Attributor{}, Log: log, Metrics: noMeter{}, NotifyPeers: func() {}, RetryPerCent: 18, RetryBurst: 60,
 	}
 	fo.Tracker.OnChange = fo.Wake
-	cf.wg.Go(func() { _ = fo.Run(cf.ctx) })
-	return fo
+	pu := publisher.New()
+	fo.PublishCrash = pu.PublishCrash
+	pu.Parts, pu.Store, pu.Peers, pu.Log = fo.Attributor, crashStore{cf}, func() int { return len(cf.all) - 1 }, log
+	fo.Attributor.OnChange = func(ch attributor.Change) {
+		if ch.Blocked && ch.Part != crashingPart {
+			cf.mu.Lock()
+			cf.wrong[ch.Part] = true
+			cf.mu.Unlock()
+		}
+		if ch.Source == attributor.FromCrashes {
+			fo.Tracker.ShareBlocked(ch.Part)
+		}
+		pu.Signal()
+	}
+	cf.wg.Go(func() { _ = fo.Run(ctx) })
+	cf.wg.Go(func() { _ = pu.Run(ctx) })
+	cf.processes[fo] = ctx
+	return fo, stop
+}
+
+// crashStore is the platform's store of a crashFleet.
+type crashStore struct{ *crashFleet }
+
+// RecordCrash implements ml.PartRecorder.
+func (cs crashStore) RecordCrash(_ context.Context, now time.Time, sc ml.SharedCrash) error {
+	const delay = 10 * time.Millisecond
+	time.Sleep(delay)
+	cs.mu.Lock()
+	cs.recorded = append(cs.recorded, storedCrash{sc, now})
+	cs.mu.Unlock()
+	all := cs.entries()
+	cs.wg.Go(func() {
+		time.Sleep(delay)
+		for _, fo := range all {
+			fo.Attributor.RecordCrash(time.Now(), sc)
+		}
+	})
+	return nil
+}
+
+// storedCrash is a crash in the store, with ages relative to at.
+type storedCrash struct {
+	ml.SharedCrash
+	at time.Time
+}
+
+// RecordPart implements ml.PartRecorder.
+func (cs crashStore) RecordPart(_ context.Context, part ml.PartID, blocked bool) error {
+	const delay = 10 * time.Millisecond
+	time.Sleep(delay)
+	cs.mu.Lock()
+	cs.stored[part] = blocked
+	all := slices.Clone(cs.all)
+	cs.mu.Unlock()
+	cs.wg.Go(func() {
+		time.Sleep(delay)
+		for _, fo := range all {
+			fo.Attributor.ApplyRecord(time.Now(), part, blocked)
+		}
+	})
+	return nil
+}
+
+// restart replaces all entry VMs by new ones, which know what is in the store.
+func (cf *crashFleet) restart() {
+	for i := range cf.all {
+		cf.stops[i]()
+		fo, stop := cf.newEntry(i)
+		cf.stops[i] = stop
+		cf.mu.Lock()
+		for id, en := range cf.engineByID {
+			if !en.ended {
+				fo.Catalog.Merge(time.Now(), []ml.KeyRecord{{Topic: "t", Key: string(id), Value: []byte("x"), Offset: cf.lastOffset}}, nil)
+			}
+		}
+		stored, recorded := maps.Clone(cf.stored), slices.Clone(cf.recorded)
+		cf.all[i] = fo
+		cf.mu.Unlock()
+		for part, blocked := range stored {
+			fo.Attributor.ApplyRecord(time.Now(), part, blocked)
+		}
+		for _, sc := range recorded {
+			age := time.Since(sc.at).Milliseconds()
+			sc.AgeMs += age
+			sc.SentAgeMs += age
+			fo.Attributor.RecordCrash(time.Now(), sc.SharedCrash)
+		}
+	}
+}
+
+// endOthers ends some engines at once for another reason than crashingPart.
+func (cf *crashFleet) endOthers(n int) {
+	cf.mu.Lock()
+	defer cf.mu.Unlock()
+	for _, en := range cf.engineByID {
+		if n > 0 && !en.ended {
+			cf.end(en)
+			n--
+		}
+	}
 }
 
 // startEngine starts an engine and lists it at all entry VMs.
@@ -110,7 +226,7 @@
 	cf.lastOffset++
 	re := ml.KeyRecord{Topic: "t", Key: string(id), Value: value, Offset: cf.lastOffset}
 	cf.mu.Unlock()
-	for _, fo := range cf.all {
+	for _, fo := range cf.entries() {
 		fo.Catalog.Merge(time.Now(), []ml.KeyRecord{re}, nil)
 		fo.Wake()
 	}
@@ -170,6 +286,14 @@
 
 func (crashExchanger) ReleaseMemory(context.Context, ml.ListedEndpoint, ml.HoldID) error { return nil }
 
+// HasEnded implements ml.Exchanger.
+func (ce crashExchanger) HasEnded(_ context.Context, ep ml.ListedEndpoint) bool {
+	time.Sleep(2 * time.Millisecond)
+	ce.mu.Lock()
+	defer ce.mu.Unlock()
+	return ce.engineByID[ep.ID].ended
+}
+
 // answer writes an answer after the prefill. With crashingPart the engine ends instead.
 func (cf *crashFleet) answer(en *crashEngine, pw *io.PipeWriter, isCrashing bool) {
 	const events, eventInterval = 15, 45 * time.Millisecond
@@ -226,25 +350,39 @@
 		rq.Outgoing.Header.Add(headerParts, string(part))
 	}
 	br := &beginResponder{rq: rq}
-	cf.all[cf.intBetween(0, len(cf.all))].Forward(cf.ctx, rq, br)
+	fo := cf.entries()[cf.intBetween(0, len(cf.all))]
+	fo.Forward(cf.processes[fo], rq, br)
 	return soundResult{now, br.firstAttempt}, br.failed
 }
 
+func (cf *crashFleet) entries() []*Forwarder {
+	cf.mu.Lock()
+	defer cf.mu.Unlock()
+	return slices.Clone(cf.all)
+}
+
 // shareNews delivers the changes of each entry VM to the others, after a delay.
 func (cf *crashFleet) shareNews() {
-	const interval = 4 * time.Millisecond
-	for cf.ctx.Err() == nil {
-		for _, from := range cf.all {
+	const interval, fullEvery = 4 * time.Millisecond, 125
+	for round := 1; cf.ctx.Err() == nil; round++ {
+		all := cf.entries()
+		for i, from := range all {
 			sm, found := from.Tracker.TakeChanges()
-			if !found {
+			if round%fullEvery == 0 {
+				sm.Blocked = append(sm.Blocked, from.Attributor.Blocked(time.Now())...)
+			}
+			if !found && len(sm.Blocked) == 0 || i < cf.cut {
 				continue
 			}
 			sm.From = from.Self
 			cf.wg.Go(func() {
 				time.Sleep(time.Duration(cf.newsMs) * time.Millisecond)
-				for _, to := range cf.all {
+				for _, to := range all[cf.cut:] {
 					if to != from {
 						to.Tracker.ApplyPeerUpdate(time.Now(), sm)
+						if cleared := to.Attributor.ApplyPeerUpdate(time.Now(), sm); len(cleared) > 0 {
+							to.Tracker.ShareCleared(cleared)
+						}
 					}
 				}
 			})
@@ -257,7 +395,8 @@
 // which the callers repeat once, from calm on.
 func (cf *crashFleet) play(calm, duration time.Duration) {
 	const step = 10 * time.Millisecond
-	sound, crashing := 0, 0
+	sound, crashing, other := 0, 0, 0
+	restarted, ended := cf.restartMs == 0, false
 	for begin := time.Now(); time.Since(begin) < duration; time.Sleep(step) {
 		for sound += cf.sound; sound >= int(time.Second/step); sound -= int(time.Second / step) {
 			subject := ml.PartID(fmt.Sprint("subject", cf.intBetween(0, 40)))
@@ -271,6 +410,17 @@
 		if time.Since(begin) < calm {
 			continue
 		}
+		if !ended {
+			cf.endOthers(cf.together)
+			ended = true
+		}
+		if !restarted && cf.crashedFor() >= time.Duration(cf.restartMs)*time.Millisecond {
+			cf.restart()
+			restarted = true
+		}
+		for other += cf.other; other >= int(time.Second/step); other -= int(time.Second / step) {
+			cf.endOthers(1)
+		}
 		for crashing += cf.crashing; crashing >= int(time.Second/step); crashing -= int(time.Second / step) {
 			subject := ml.PartID(fmt.Sprint("subject", cf.intBetween(0, 40)))
 			cf.wg.Go(func() {
@@ -282,15 +432,28 @@
 	}
 }
 
-// judge compares the day with the users' bounds.
-func (cf *crashFleet) judge(calmUntil time.Time) string {
+// crashedFor returns the time since the first crash.
+func (cf *crashFleet) crashedFor() time.Duration {
 	cf.mu.Lock()
 	defer cf.mu.Unlock()
 	if len(cf.crashes) == 0 {
-		return "no engine crashed"
+		return 0
 	}
-	decisive := cf.crashes[min(len(cf.crashes), crashesToSettle)-1]
+	return time.Since(cf.crashes[0])
+}
+
+// judge compares the day with the users' bounds.
+func (cf *crashFleet) judge(calmUntil time.Time) string {
+	cf.mu.Lock()
+	defer cf.mu.Unlock()
 	out := ""
+	for part := range cf.wrong {
+		out += fmt.Sprintf("a sound part was blocked: %s\n", part)
+	}
+	decisive := calmUntil
+	if len(cf.crashes) > 0 {
+		decisive = cf.crashes[min(len(cf.crashes), crashesToSettle)-1]
+	}
 	late := 0
 	for _, at := range cf.sends {
 		if at.Sub(decisive) > crashSettleTime {
@@ -336,6 +499,10 @@
 		td.MaybeScanArgs(t, "sound", &cd.sound)
 		td.MaybeScanArgs(t, "crashing", &cd.crashing)
 		td.MaybeScanArgs(t, "newsMs", &cd.newsMs)
+		td.MaybeScanArgs(t, "other", &cd.other)
+		td.MaybeScanArgs(t, "together", &cd.together)
+		td.MaybeScanArgs(t, "cut", &cd.cut)
+		td.MaybeScanArgs(t, "restartMs", &cd.restartMs)
 		out := ""
 		synctest.Test(t, func(*testing.T) {
 			const calm, duration = 5 * time.Second, 25 * time.Second
--- a/internal/duty/forwarder/doubles_test.go
+++ b/internal/duty/forwarder/doubles_test.go
@@ -21,6 +21,7 @@
 	return ml.ServingConfig{}, false, nil
 }
 func (engineDecoder) Domain(ml.KeyRecord) (ml.DomainID, bool) { return "", false }
+func (engineDecoder) Part(ml.KeyRecord) (ml.PartID, bool)     { return "", false }
 func (engineDecoder) Endpoint(re ml.KeyRecord) (ml.ListedEndpoint, bool, error) {
 	return ml.ListedEndpoint{Endpoint: ml.Endpoint{ID: ml.EndpointID(re.Key), Service: "lm", State: ml.StateLive}}, true, nil
 }
@@ -41,6 +42,8 @@
 
 func (silentExchanger) ReleaseMemory(context.Context, ml.ListedEndpoint, ml.HoldID) error { return nil }
 
+func (silentExchanger) HasEnded(context.Context, ml.ListedEndpoint) bool { return false }
+
 // noMeter discards metrics.
 type noMeter struct{}
 
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/attributor"
 	"github.com/mulberrylever/mulberrylever/internal/decision/budgeter"
 	"github.com/mulberrylever/mulberrylever/internal/decision/detector"
 	"github.com/mulberrylever/mulberrylever/internal/decision/divider"
@@ -55,6 +56,7 @@
 	longestGap     time.Duration   // longest gap between two events
 	retryCharged   atomic.Bool     // the retry budget was already charged for the next attempt
 	triedEndpoints []ml.EndpointID // endpoints that received the request
+	isTrial        bool            // sent although a part of its prompt is blocked
 }
 
 // Forwarder places requests on endpoints and forwards the responses.
@@ -66,9 +68,13 @@
 	Catalog     *cataloger.Cataloger
 	Tracker     *tracker.Tracker
 	Detector    *detector.Detector
+	Attributor  *attributor.Attributor
 	Log         *slog.Logger
 	Metrics     Meter
 	NotifyPeers func() // called when a change must be sent to the other entry VMs
+	// PublishCrash is called when the crash of an engine must be recorded in the
+	// platform's store.
+	PublishCrash func(now time.Time, sc ml.SharedCrash)
 
 	// PropagationDelay returns the mean delay of updates between entry VMs. Nil means none.
 	PropagationDelay func() time.Duration
@@ -156,12 +162,17 @@
 // placeAndAttempt makes one attempt: it places the request, sends it and forwards
 // the response.
 func (fo *Forwarder) placeAndAttempt(ctx context.Context, rq *Request, rs ml.Responder) attemptResult {
+	if err := fo.checkParts(ctx, rq); err != nil {
+		return fo.notPlaced(rq, err)
+	}
 	pl, err := fo.place(ctx, rq)
 	if err != nil {
-		fo.logNotPlaced(rq, err)
-		return attemptResult{notRun: true, reason: err.Error(), err: err}
+		return fo.notPlaced(rq, err)
 	}
 	defer fo.endFlights(pl)
+	if ve := fo.checkOnce(time.Now(), rq); ve.Blocked != "" || ve.Wait > 0 {
+		return attemptResult{notRun: true, reason: "engines crashed on a part of the prompt meanwhile"}
+	}
 	if !fo.Catalog.IsUsable(time.Now(), pl.lead.ID, pl.lead.Incarnation) {
 		return attemptResult{notRun: true, reason: "left before the send"}
 	}
@@ -169,7 +180,9 @@
 		"firstMs", pl.predictedFirstEvent.Milliseconds(), "loss", pl.loss, "worth", pl.value, "seen", pl.usable, "prompt", rq.Prompt,
 		"recentSends", pl.recentSends, "cold", pl.cold)
 	fo.Metrics.Placed(rq, pl.waited)
+	sentAt := time.Now()
 	ar := fo.attempt(ctx, rq, rs, pl)
+	fo.reportCrash(ctx, rq, pl, ar, sentAt)
 	if ar.received {
 		rq.sendCount++
 		fo.Metrics.Sent(rq, rq.sendCount)
@@ -182,14 +195,14 @@
 	return ar
 }
 
-// logNotPlaced logs why a request could not be placed.
-func (fo *Forwarder) logNotPlaced(rq *Request, err error) {
+// notPlaced returns the result of a request that could not be placed, and logs why.
+func (fo *Forwarder) notPlaced(rq *Request, err error) attemptResult {
 	var ue *unplaceableError
-	if !errors.As(err, &ue) {
-		return // the caller has disconnected
+	if errors.As(err, &ue) { // otherwise the caller has disconnected
+		fo.Log.Info("not placed", "request", rq.Outgoing.Attempt, "reason", ue.reason, "seen", ue.usable, "loss", ue.loss,
+			"retryMs", ue.retryAfter.Milliseconds(), "prompt", rq.Prompt, "part", ue.part)
 	}
-	fo.Log.Info("not placed", "request", rq.Outgoing.Attempt, "reason", ue.reason, "seen", ue.usable, "loss", ue.loss,
-		"retryMs", ue.retryAfter.Milliseconds(), "prompt", rq.Prompt)
+	return attemptResult{notRun: true, reason: err.Error(), err: err}
 }
 
 // recordResult reports an attempt's result to the failure detector, and an
--- /dev/null
+++ b/internal/duty/forwarder/parts.go
@@ -0,0 +1,94 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/attributor"
+	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
+)
+
+const (
+	// minBegunEvents is the number of events from which an answer counts as begun: an
+	// engine may still send the first one while it crashes.
+	minBegunEvents = 2
+	// crashCheckTimeout bounds the check whether an engine's process has ended.
+	crashCheckTimeout = 100 * time.Millisecond
+)
+
+// checkParts returns an error if a part of the prompt is blocked. It waits while that is
+// being decided.
+func (fo *Forwarder) checkParts(ctx context.Context, rq *Request) error {
+	ve := fo.checkOnce(time.Now(), rq)
+	for ve.Wait > 0 && ctx.Err() == nil {
+		pacer.Sleep(ctx, ve.Wait)
+		ve = fo.checkOnce(time.Now(), rq)
+	}
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	if ve.Trial {
+		rq.isTrial = true
+		fo.Log.Info("trial", "request", rq.Outgoing.Attempt, "parts", rq.Parts)
+	}
+	if ve.Blocked == "" {
+		return nil
+	}
+	return &unplaceableError{reason: "engines crash on a part of the prompt", retryAfter: ve.RetryAfter, part: ve.Blocked}
+}
+
+// checkOnce decides whether a request may be sent now.
+func (fo *Forwarder) checkOnce(now time.Time, rq *Request) attributor.Verdict {
+	if len(rq.Parts) == 0 || rq.isTrial {
+		return attributor.Verdict{}
+	}
+	return fo.Attributor.Check(now, rq.Parts, func(part ml.PartID) bool { return fo.mayTry(now, part) })
+}
+
+// mayTry reports whether this entry VM makes the trials of a blocked part. Of the whole
+// fleet one does, since the others would crash an engine each.
+func (fo *Forwarder) mayTry(now time.Time, part ml.PartID) bool {
+	if fo.Membership == nil {
+		return false
+	}
+	view := fo.Membership(now)
+	return view.Settled && fo.Divider.Share(view, string(part), 1) > 0
+}
+
+// recordBegun records that the answer to a request has begun, which clears its parts.
+func (fo *Forwarder) recordBegun(now time.Time, rq *Request) {
+	if len(rq.Parts) == 0 {
+		return
+	}
+	if cleared := fo.Attributor.RecordAnswer(now, rq.Parts); len(cleared) > 0 {
+		fo.Tracker.ShareCleared(cleared)
+		fo.NotifyPeers()
+	}
+}
+
+// reportCrash checks whether an engine that broke off a request, of which no answer had
+// begun, has crashed. If so the parts of the prompt are suspect, here and at the other
+// entry VMs. It returns before the request is sent again.
+func (fo *Forwarder) reportCrash(ctx context.Context, rq *Request, pl *placement, ar attemptResult, sentAt time.Time) {
+	if len(rq.Parts) == 0 || ar.done || ar.notRun || !ar.received || ar.events >= minBegunEvents || errors.Is(ar.err, errEndpointFailure) || ctx.Err() != nil {
+		return
+	}
+	failedAt := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	if !fo.Exchanger.HasEnded(ctx, pl.lead) {
+		return
+	}
+	now := time.Now()
+	sc := ml.SharedCrash{
+		Endpoint: pl.lead.ID, Incarnation: pl.lead.Incarnation, Parts: rq.Parts,
+		SentAgeMs: now.Sub(sentAt).Milliseconds(), AgeMs: now.Sub(failedAt).Milliseconds(),
+	}
+	fo.Log.Info("crash", "request", rq.Outgoing.Attempt, "endpoint", sc.Endpoint, "incarnation", sc.Incarnation, "parts", sc.Parts, "sentAgeMs", sc.SentAgeMs)
+	fo.Attributor.RecordCrash(now, sc)
+	fo.Tracker.ShareCrash(sc)
+	fo.NotifyPeers()
+	fo.PublishCrash(now, sc)
+}
--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -32,8 +32,9 @@
 type unplaceableError struct {
 	reason     string
 	retryAfter time.Duration
-	usable     int     // endpoints that could take the request
-	loss       float64 // predicted loss at the best of them; 0 if there was none
+	usable     int       // endpoints that could take the request
+	loss       float64   // predicted loss at the best of them; 0 if there was none
+	part       ml.PartID // the part of the prompt for which it is refused; empty for other reasons
 }
 
 // Error implements the error interface.
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -116,6 +116,9 @@
 	in := bufio.NewReader(an.Body)
 	for events := 0; ; events++ {
 		ev, err := rq.nextEvent(in)
+		if events == minBegunEvents || events > 0 && errors.Is(err, io.EOF) {
+			fo.recordBegun(time.Now(), rq)
+		}
 		if errors.Is(err, io.EOF) {
 			return fo.finishStream(rq, rs, an, ev.raw)
 		}
--- a/internal/duty/sharer/sharer.go
+++ b/internal/duty/sharer/sharer.go
@@ -14,6 +14,7 @@
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/attributor"
 	"github.com/mulberrylever/mulberrylever/internal/decision/detector"
 	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
@@ -38,17 +39,18 @@
 // Sharer exchanges state with the other entry VMs. Its exported fields must be set
 // before Run.
 type Sharer struct {
-	Self     ml.VMID
-	Domain   ml.DomainID
-	Cores    float64  // processor cores of this entry VM; relays are those with the most
-	Address  string   // at which other entry VMs reach this one
-	Seeds    []string // addresses of the first members
-	Peers    ml.SharePeers
-	Tracker  *tracker.Tracker
-	Catalog  *cataloger.Cataloger
-	Detector *detector.Detector
-	Log      *slog.Logger
-	Leaving  func() bool
+	Self       ml.VMID
+	Domain     ml.DomainID
+	Cores      float64  // processor cores of this entry VM; relays are those with the most
+	Address    string   // at which other entry VMs reach this one
+	Seeds      []string // addresses of the first members
+	Peers      ml.SharePeers
+	Tracker    *tracker.Tracker
+	Catalog    *cataloger.Cataloger
+	Detector   *detector.Detector
+	Attributor *attributor.Attributor
+	Log        *slog.Logger
+	Leaving    func() bool
 
 	changed       chan struct{} // there are changes to send
 	batchReady    chan struct{} // there are messages to relay
@@ -150,7 +152,9 @@
 	if large && sh.periodicCount%fullStateEvery != 0 {
 		return ml.ShareMessage{}
 	}
-	return sh.Tracker.Snapshot(now)
+	sm := sh.Tracker.Snapshot(now)
+	sm.Blocked = sh.Attributor.Blocked(now)
+	return sm
 }
 
 // sendDigest sends the known addresses and the read offsets to one member, chosen at
@@ -243,6 +247,10 @@
 	if len(sm.Records) > 0 {
 		sh.Catalog.Merge(now, sm.Records, nil)
 	}
+	if cleared := sh.Attributor.ApplyPeerUpdate(now.Add(-time.Duration(sm.AgeMs)*time.Millisecond), sm); len(cleared) > 0 {
+		sh.Tracker.ShareCleared(cleared)
+		sh.Signal()
+	}
 	for _, id := range sm.Failed {
 		sh.Detector.Record(now, id, "", detector.PeerFailed)
 	}
--- a/internal/duty/sharer/sharer_test.go
+++ b/internal/duty/sharer/sharer_test.go
@@ -14,6 +14,7 @@
 	"github.com/onsi/gomega"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/attributor"
 	"github.com/mulberrylever/mulberrylever/internal/decision/detector"
 	"github.com/mulberrylever/mulberrylever/internal/decision/divider"
 	"github.com/mulberrylever/mulberrylever/internal/duty/sharer"
@@ -113,6 +114,7 @@
 	sh.Self, sh.Address = ml.VMID(fmt.Sprintf("vm%02d", i)), fmt.Sprintf("10.0.0.%02d", i)
 	sh.Domain, sh.Seeds = ml.DomainID(fmt.Sprint("d", i%2)), []string{"10.0.0.00", "10.0.0.01"}
 	sh.Peers, sh.Tracker, sh.Catalog = fl.ne, &tracker.Tracker{OnLocalChange: sh.Signal}, &cataloger.Cataloger{Decoder: emptyDecoder{}, Log: slog.New(slog.DiscardHandler)}
+	sh.Attributor = &attributor.Attributor{}
 	sh.Detector, sh.Log, sh.Leaving = &detector.Detector{}, slog.New(slog.DiscardHandler), func() bool { return false }
 	fl.ne.mu.Lock()
 	fl.ne.nodes[sh.Address] = sh
@@ -218,6 +220,7 @@
 	return ml.ServingConfig{}, false, nil
 }
 func (emptyDecoder) Domain(ml.KeyRecord) (ml.DomainID, bool) { return "", false }
+func (emptyDecoder) Part(ml.KeyRecord) (ml.PartID, bool)     { return "", false }
 func (emptyDecoder) Endpoint(ml.KeyRecord) (ml.ListedEndpoint, bool, error) {
 	return ml.ListedEndpoint{}, false, nil
 }
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -20,6 +20,9 @@
 	// Domain returns the failure domain that a record takes out of service. The
 	// second result is false for other records.
 	Domain(re ml.KeyRecord) (ml.DomainID, bool)
+	// Part returns the part of prompts that a record blocks. The second result is
+	// false for other records.
+	Part(re ml.KeyRecord) (ml.PartID, bool)
 	// Endpoint returns the endpoint in a record. The second result is false for
 	// records that don't hold one.
 	Endpoint(re ml.KeyRecord) (ml.ListedEndpoint, bool, error)
@@ -45,6 +48,9 @@
 	// deleted, if that happened within twice this time after the store last
 	// failed. The endpoint may only have been unable to renew the record.
 	RemovalGrace time.Duration
+	// OnPart is called for each record of a part of prompts, with locks held. It may be
+	// nil.
+	OnPart func(now time.Time, part ml.PartID, blocked bool)
 	// OnChange is called without locks held after each change. It may be nil.
 	OnChange func()
 
@@ -118,6 +124,12 @@
 		ca.applyDomain(do, re)
 		return true
 	}
+	if part, found := ca.Decoder.Part(re); found {
+		if ca.OnPart != nil {
+			ca.OnPart(now, part, re.Value != nil)
+		}
+		return true
+	}
 	if co, found, err := ca.Decoder.Config(re); found || err != nil {
 		ca.applyConfig(re, co, err)
 		return true
--- a/internal/state/cataloger/cataloger_test.go
+++ b/internal/state/cataloger/cataloger_test.go
@@ -35,6 +35,11 @@
 	return ml.DomainID(do), found
 }
 
+func (textDecoder) Part(re ml.KeyRecord) (ml.PartID, bool) {
+	id, found := strings.CutPrefix(re.Key, "part/")
+	return ml.PartID(id), found
+}
+
 func (textDecoder) Endpoint(re ml.KeyRecord) (ml.ListedEndpoint, bool, error) {
 	state, domain, found := strings.Cut(string(re.Value), "@")
 	if !found {
--- a/internal/state/tracker/tracker.go
+++ b/internal/state/tracker/tracker.go
@@ -150,6 +150,28 @@
 	tr.unsentChanges.Failed = append(tr.unsentChanges.Failed, id)
 }
 
+// ShareCrash adds the crash of an engine to the changes for the peers.
+func (tr *Tracker) ShareCrash(sc ml.SharedCrash) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.unsentChanges.Crashes = append(tr.unsentChanges.Crashes, sc)
+}
+
+// ShareBlocked adds a part of prompts that has been blocked to the changes for the peers.
+func (tr *Tracker) ShareBlocked(part ml.PartID) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.unsentChanges.Blocked = append(tr.unsentChanges.Blocked, ml.SharedBlock{Part: part})
+}
+
+// ShareCleared adds parts of prompts, with which answers have begun, to the changes for
+// the peers.
+func (tr *Tracker) ShareCleared(parts []ml.PartID) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.unsentChanges.Cleared = append(tr.unsentChanges.Cleared, parts...)
+}
+
 // TakeChanges returns and clears the changes that have not been sent to the
 // peers. The second result reports whether there were any.
 func (tr *Tracker) TakeChanges() (ml.ShareMessage, bool) {
@@ -157,7 +179,7 @@
 	defer tr.mu.Unlock()
 	sm := tr.unsentChanges
 	tr.unsentChanges = ml.ShareMessage{}
-	return sm, len(sm.Flights)+len(sm.Waiting)+len(sm.Started)+len(sm.Ended)+len(sm.Failed) > 0
+	return sm, len(sm.Flights)+len(sm.Waiting)+len(sm.Started)+len(sm.Ended)+len(sm.Failed)+len(sm.Crashes)+len(sm.Cleared)+len(sm.Blocked) > 0
 }
 
 // Snapshot returns all flights and waiting requests of this entry VM.
