fix: a stream that ends before its first event has been broken off

Cause: the end of the body counted as the end of the stream, whatever had come before. Now a stream without any event is an attempt that failed; one that resumes after the caller's last event may be empty as before.

--- a/internal/duty/forwarder/endless_test.go
+++ b/internal/duty/forwarder/endless_test.go
@@ -48,10 +48,16 @@
 	return &ml.Answer{Status: ee.status, Header: http.Header{}, Length: -1, Sealed: true, Body: body, Close: func() {}}, nil
 }
 
-// recordingResponder counts the bytes that are forwarded to the caller.
+// recordingResponder counts the answers and bytes that are forwarded to the caller.
 type recordingResponder struct {
 	discardResponder
-	written, refused atomic.Int64
+	begun, written, refused atomic.Int64
+}
+
+// Begin implements ml.Responder.
+func (rr *recordingResponder) Begin(int, http.Header, int64) error {
+	rr.begun.Add(1)
+	return nil
 }
 
 // Write implements ml.Responder.
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -33,6 +33,9 @@
 var (
 	// errEventTimeout means that an engine sent no event in time.
 	errEventTimeout = errors.New("the engine is silent")
+	// errNoEvent means that a stream ended before its first event. Without a length or
+	// chunks, that is how it looks when the engine's process ends.
+	errNoEvent = errors.New("the stream ended without an event")
 	// errNoProgress means that an engine sent bytes without an event.
 	errNoProgress = errors.New("the engine sends bytes that are no event")
 	// errCallerDisconnected means that writing to the caller failed.
@@ -119,6 +122,9 @@
 		if events == minBegunEvents || events > 0 && errors.Is(err, io.EOF) {
 			fo.recordBegun(time.Now(), rq)
 		}
+		if errors.Is(err, io.EOF) && events == 0 && rq.lastEventID == 0 && rq.eventCount == 0 {
+			return attemptResult{received: true, reason: "stream broke off: " + errNoEvent.Error(), err: errNoEvent}
+		}
 		if errors.Is(err, io.EOF) {
 			return fo.finishStream(rq, rs, an, ev.raw)
 		}
