feat: decode, log and share the limits that engines state

Nothing read the header Server-Limit, and nothing in logs or metrics showed what an engine had stated or who knew of it.

The adapter decodes it into a RateLimit of the answer; one that can't be read is logged with its text and changes nothing. The tracker keeps the newest statement for each incarnation of an engine and passes it on; the line "limit" shows each change with the requests of the last second. No decision uses it yet.

--- a/exchange.go
+++ b/exchange.go
@@ -33,9 +33,21 @@
 	Sealed      bool // carries the endpoint's response seal
 	NotRun      bool // the endpoint reports that it did not run the request
 	Misdirected bool // the address now belongs to another endpoint
+	Limit       RateLimit
+	LimitError  error // the endpoint states a limit that can't be read
 	Close       func()
 }
 
+// RequestRate is a number of requests per second.
+type RequestRate float64
+
+// RateLimit is the rate of requests that an endpoint takes from all entry VMs together.
+// The zero value means that it states none.
+type RateLimit struct {
+	Stated bool
+	Rate   RequestRate
+}
+
 // Exchanger forwards requests to endpoints unchanged.
 type Exchanger interface {
 	// Exchange sends a request and returns once the answer's header has been
@@ -103,6 +115,7 @@
 	Ended          []FlightID            `json:"ended,omitempty"`   // finished flights, and requests that left the queue
 	Failed         []EndpointID          `json:"failed,omitempty"`  // endpoints that failed a request
 	Records        []KeyRecord           `json:"records,omitempty"` // changed records of the platform's store
+	Limits         []SharedLimit         `json:"limits,omitempty"`  // stated by endpoints
 	Crashes        []SharedCrash         `json:"crashes,omitempty"`
 	Cleared        []PartID              `json:"cleared,omitempty"` // answers with these parts have begun
 	Blocked        []SharedBlock         `json:"blocked,omitempty"` // parts that crash engines
@@ -151,6 +164,16 @@
 	Rank                 int64       `json:"o"`
 }
 
+// SharedLimit is the RateLimit in an endpoint's answer, AgeMs milliseconds before the
+// creation of the message.
+type SharedLimit struct {
+	Endpoint    EndpointID  `json:"e"`
+	Incarnation Incarnation `json:"i,omitempty"`
+	Stated      bool        `json:"l,omitempty"`
+	Rate        RequestRate `json:"r,omitempty"`
+	AgeMs       int64       `json:"a,omitempty"`
+}
+
 // SharedCrash is the end of an engine's process with a request on it that had not begun
 // to be answered. Ages are milliseconds before the creation of the message.
 type SharedCrash struct {
--- a/internal/duty/forwarder/attempt.go
+++ b/internal/duty/forwarder/attempt.go
@@ -60,6 +60,7 @@
 		return attemptResult{notRun: er.NotRun, received: !er.NotRun, reason: failureReason(ctx, er), err: err}
 	}
 	defer an.Close()
+	fo.recordLimit(time.Now(), pl.lead, an)
 	out.OnSent() // it may answer before all is written
 	switch {
 	case an.Misdirected:
--- a/internal/state/tracker/tracker.go
+++ b/internal/state/tracker/tracker.go
@@ -43,6 +43,7 @@
 	peers         map[ml.VMID]*peer
 	sends         map[ml.EndpointID][]time.Time
 	localSends    map[ml.EndpointID][]localSend
+	limits        map[ml.EndpointID]statedLimit
 }
 
 // peer is the state that another entry VM has reported.
@@ -179,14 +180,14 @@
 	defer tr.mu.Unlock()
 	sm := tr.unsentChanges
 	tr.unsentChanges = ml.ShareMessage{}
-	return sm, len(sm.Flights)+len(sm.Waiting)+len(sm.Started)+len(sm.Ended)+len(sm.Failed)+len(sm.Crashes)+len(sm.Cleared)+len(sm.Blocked) > 0
+	return sm, len(sm.Flights)+len(sm.Waiting)+len(sm.Started)+len(sm.Ended)+len(sm.Failed)+len(sm.Crashes)+len(sm.Cleared)+len(sm.Blocked)+len(sm.Limits) > 0
 }
 
 // Snapshot returns all flights and waiting requests of this entry VM.
 func (tr *Tracker) Snapshot(now time.Time) ml.ShareMessage {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	sm := ml.ShareMessage{Full: true}
+	sm := ml.ShareMessage{Full: true, Limits: tr.sharedLimits(now)}
 	for _, fl := range tr.localFlights {
 		sm.Flights = append(sm.Flights, encodeFlight(now, fl))
 	}
@@ -224,6 +225,7 @@
 		delete(pe.flights, id)
 		delete(pe.waiting, id)
 	}
+	tr.applyLimits(now, sm.Limits)
 	capacityFreed := len(sm.Started)+len(sm.Ended) > 0
 	tr.mu.Unlock()
 	if capacityFreed || sm.Full {
