fix: hold the limits that engines state by shares of the entry VMs

Cause: the limit was not read at all. Class: a bound on a sum that nobody held. With a count of its own requests, or of those that it has heard of, each entry VM would send the whole limit: the same class as the rate of a cold engine (docs/incidents/2026-12-04-failback.md).

Change: an entry VM sends an engine its share (divider) of what the limit allows in 4 s, at least one request of the whole fleet, since only an answer shows that the need has ended. The shares follow from the members and need no news.

Ruled out: shares of one second (less than one request for most entry VMs); a token bucket each (six buckets of one request allow 10 of 11 in 4 s, 88 allow 92).

--- a/exchange.go
+++ b/exchange.go
@@ -48,6 +48,12 @@
 	Rate   RequestRate
 }
 
+// Count returns the number of requests that the limit allows within a window. It is at
+// least one: only an answer shows that the limit has ended.
+func (rl RateLimit) Count(window time.Duration) int {
+	return max(int(float64(rl.Rate)*window.Seconds()), 1)
+}
+
 // Exchanger forwards requests to endpoints unchanged.
 type Exchanger interface {
 	// Exchange sends a request and returns once the answer's header has been
--- a/internal/duty/forwarder/coldrate.go
+++ b/internal/duty/forwarder/coldrate.go
@@ -7,6 +7,13 @@
 	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
 )
 
+// rateReached reports whether an endpoint must get no further request of this entry VM
+// now: because of the limit that it states, or since it is cold, or may have become cold
+// without notice.
+func (fo *Forwarder) rateReached(now time.Time, rq *Request, li cataloger.Listing) bool {
+	return fo.statedShareUsed(now, li) || fo.coldRateReached(now, rq, li)
+}
+
 // coldRateReached reports whether an endpoint that is cold, or may have become cold
 // without notice, must get no further request of this entry VM now.
 func (fo *Forwarder) coldRateReached(now time.Time, rq *Request, li cataloger.Listing) bool {
@@ -33,7 +40,7 @@
 		}
 		limit = int(spec.ColdRate)
 	}
-	return fo.Tracker.LocalSends(now, li.ID) >= fo.Divider.Share(view, string(li.ID), limit)
+	return fo.Tracker.LocalSends(now, li.ID, time.Second) >= fo.Divider.Share(view, string(li.ID), limit)
 }
 
 // knownRateReached reports whether an endpoint is known to have received as many
--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -248,7 +248,7 @@
 	candidates := make([]placer.Candidate, 0, len(listings))
 	for _, li := range listings {
 		ca := fo.candidate(now, li, flights[li.ID])
-		ca.Blocked = ca.Blocked || it.rq != nil && (fo.coldRateReached(now, it.rq, li) || slices.Contains(it.rq.triedEndpoints, li.ID))
+		ca.Blocked = ca.Blocked || it.rq != nil && (fo.rateReached(now, it.rq, li) || slices.Contains(it.rq.triedEndpoints, li.ID))
 		candidates = append(candidates, ca)
 	}
 	ch := placer.Choose(now, &it.placerReq, candidates)
--- a/internal/duty/forwarder/service.go
+++ b/internal/duty/forwarder/service.go
@@ -38,7 +38,7 @@
 	candidates := []placer.ServiceCandidate{}
 	for _, li := range fo.Catalog.Usable(now, rq.Service) {
 		ca := fo.candidate(now, li, flights[li.ID])
-		ca.Blocked = ca.Blocked || fo.coldRateReached(now, rq, li) || slices.Contains(rq.triedEndpoints, li.ID)
+		ca.Blocked = ca.Blocked || fo.rateReached(now, rq, li) || slices.Contains(rq.triedEndpoints, li.ID)
 		candidates = append(candidates, placer.ServiceCandidate{
 			Endpoint: ca.Endpoint, Running: len(ca.Flights), FailureRate: ca.FailureRate, Blocked: ca.Blocked,
 		})
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		ca := fo.candidate(now, li, flights[li.ID])
-		ca.Blocked = ca.Blocked || fo.coldRateReached(now, rq, li)
+		ca.Blocked = ca.Blocked || fo.rateReached(now, rq, li)
 		candidates = append(candidates, ca)
 	}
 	ch := placer.Choose(now, &pr, candidates)
--- a/internal/state/tracker/sends.go
+++ b/internal/state/tracker/sends.go
@@ -31,12 +31,18 @@
 }
 
 // LocalSends returns how many requests of this entry VM an endpoint may receive within
-// the second before now: those that are placed and not written yet, however long that
-// takes, and those that were written within that second.
-func (tr *Tracker) LocalSends(now time.Time, id ml.EndpointID) int {
+// a window of up to maxSendsWindow before now: those that are placed and not written
+// yet, however long that takes, and those that were written within that window.
+func (tr *Tracker) LocalSends(now time.Time, id ml.EndpointID, window time.Duration) int {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	return len(tr.pruneLocalSends(now, id))
+	n := 0
+	for _, ls := range tr.pruneLocalSends(now, id) {
+		if ls.sentAt.IsZero() || now.Sub(ls.sentAt) < window {
+			n++
+		}
+	}
+	return n
 }
 
 func (tr *Tracker) addLocalSend(now time.Time, fl *ml.Flight) {
@@ -57,7 +63,7 @@
 // others.
 func (tr *Tracker) pruneLocalSends(now time.Time, id ml.EndpointID) []localSend {
 	out := slices.DeleteFunc(tr.localSends[id], func(ls localSend) bool {
-		return !ls.sentAt.IsZero() && now.Sub(ls.sentAt) >= recentSendsWindow
+		return !ls.sentAt.IsZero() && now.Sub(ls.sentAt) >= maxSendsWindow
 	})
 	if len(out) == 0 {
 		delete(tr.localSends, id)
--- a/internal/state/tracker/tracker.go
+++ b/internal/state/tracker/tracker.go
@@ -23,6 +23,8 @@
 	peerWaitingExpiry = 1200 * time.Millisecond
 	// recentSendsWindow is the period for which RecentSends counts requests.
 	recentSendsWindow = time.Second
+	// maxSendsWindow is the longest window for which LocalSends counts requests.
+	maxSendsWindow = 5 * time.Second
 )
 
 // Tracker holds the flights and waiting requests of all entry VMs. The zero
