--- a/internal/duty/forwarder/share_test.go
+++ b/internal/duty/forwarder/share_test.go
@@ -95,3 +95,31 @@
 		}
 	}
 }
+
+// TestKnownColdEngineShares checks what a fleet sends to an engine that is known to be
+// cold: the rate that it sustains, and nothing from entry VMs that may not know the
+// others yet.
+func TestKnownColdEngineShares(t *testing.T) {
+	for _, isSettled := range []bool{true, false} {
+		cf := newColdFleet(3, 29, 0)
+		now := cf.start.Add(time.Minute)
+		li := cataloger.Listing{ListedEndpoint: ml.ListedEndpoint{Endpoint: ml.Endpoint{ID: "e"}}, ColdUntil: now.Add(time.Second)}
+		spec := &ml.ServiceSpec{ColdRate: coldRate}
+		sent := 0
+		for _, fo := range cf.all {
+			view := fo.Membership(now)
+			view.Settled = isSettled
+			fo.Membership = func(time.Time) ml.Membership { return view }
+			for ; !fo.coldShareUsed(now, spec, li); sent++ {
+				fo.Tracker.AddFlight(now, ml.Flight{ID: ml.FlightID(fmt.Sprint(sent)), Endpoint: "e", SentAt: now})
+			}
+		}
+		want := 0
+		if isSettled {
+			want = coldRate
+		}
+		if sent != want {
+			t.Errorf("settled %t: %d requests are sent within a second, want %d", isSettled, sent, want)
+		}
+	}
+}
