--- a/internal/decision/attributor/attributor_test.go
+++ b/internal/decision/attributor/attributor_test.go
@@ -162,3 +162,21 @@
 		t.Errorf("%d parts are blocked", at.Count())
 	}
 }
+
+// BenchmarkAnswer measures what a request costs while as many crashes are kept as are
+// allowed: the check before it is sent, and the record of its answer.
+func BenchmarkAnswer(b *testing.B) {
+	at := &attributor.Attributor{}
+	now := time.Unix(1_000_000, 0)
+	for i := range 256 {
+		part := ml.PartID(fmt.Sprint("p", i))
+		at.RecordCrash(now, ml.SharedCrash{Endpoint: ml.EndpointID(fmt.Sprint("e", i)), Parts: []ml.PartID{"sys", part}})
+		at.RecordAnswer(now.Add(time.Millisecond), []ml.PartID{"sys"})
+		now = now.Add(time.Second)
+	}
+	parts := []ml.PartID{"sys", "doc"}
+	for b.Loop() {
+		at.Check(now, parts, func(ml.PartID) bool { return false })
+		at.RecordAnswer(now, parts)
+	}
+}
--- a/internal/duty/forwarder/share_test.go
+++ b/internal/duty/forwarder/share_test.go
@@ -10,6 +10,7 @@
 	"github.com/onsi/gomega"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/attributor"
 	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
 	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
 )
@@ -123,3 +124,25 @@
 		}
 	}
 }
+
+// TestOneTrialOfFleet guards against entry VMs that each send a trial of a blocked part:
+// every one of them crashes an engine.
+func TestOneTrialOfFleet(t *testing.T) {
+	cf := newColdFleet(3, 29, 0)
+	now := cf.start.Add(time.Minute)
+	trials := 0
+	for _, fo := range cf.all {
+		fo.Attributor = &attributor.Attributor{}
+		fo.Attributor.ApplyRecord(now, "bad", true)
+	}
+	for _, fo := range cf.all {
+		rq := request(1)
+		rq.Parts = []ml.PartID{"sys", "bad"}
+		if ve := fo.checkOnce(now.Add(2*time.Minute), rq); ve.Trial {
+			trials++
+		}
+	}
+	if trials != 1 {
+		t.Errorf("%d trials are sent, want 1", trials)
+	}
+}
