fix: don't block a part for crashes that mostly spare it

What callers could see: while engines end one after another for another reason, two a second, the requests with one sound part are refused until its next trial.

Cause: three successive crashes counted whatever else crashed meanwhile; a request that is repeated can meet three. Now a part must have been at one in three of the engines that crashed meanwhile, or at five in succession.

--- a/internal/decision/attributor/attributor.go
+++ b/internal/decision/attributor/attributor.go
@@ -18,9 +18,13 @@
 
 const (
 	// minSuccessiveCrashes is the number of crashes, each with a request that was sent
-	// after the one before, for which a part is blocked. One crash may have any cause,
-	// and a sound request that is repeated may meet the same cause twice.
-	minSuccessiveCrashes = 3
+	// after the one before, for which a part is blocked if it was at one engine in
+	// maxCrashesPerCause that crashed meanwhile. One crash may have any cause, and a sound
+	// request that is repeated may meet the same cause twice.
+	minSuccessiveCrashes, maxCrashesPerCause = 3, 3
+	// certainSuccessiveCrashes is the number of such crashes for which a part is blocked
+	// however many other engines crash.
+	certainSuccessiveCrashes = 5
 	// minCrashes is the number of crashes for which a part is blocked whenever their
 	// requests were sent, if no answer with it has begun within quietTime after that.
 	minCrashes = 5
@@ -272,6 +276,7 @@
 	successive int       // crashes, each with a request that was sent after the one before
 	counted    time.Time // newest crash in successive
 	first      time.Time // oldest crash
+	last       time.Time // newest crash
 	decisive   time.Time // crash number minCrashes, or the newest if there are fewer
 }
 
@@ -308,12 +313,25 @@
 		}
 		others++
 	}
-	if su.successive >= minSuccessiveCrashes && others == 0 && at.answersWithout(su.part, su.first) {
+	isFrequent := su.successive >= certainSuccessiveCrashes || maxCrashesPerCause*len(su.crashes) >= at.unexplainedCrashes(su.first, su.last)
+	if su.successive >= minSuccessiveCrashes && isFrequent && others == 0 && at.answersWithout(su.part, su.first) {
 		return true
 	}
 	return len(su.crashes) >= minCrashes && now.Sub(su.decisive) >= quietTime && at.answersWithout(su.part, su.decisive)
 }
 
+// unexplainedCrashes returns the number of crashes within a period that are not attributed
+// to a blocked part.
+func (at *Attributor) unexplainedCrashes(first, last time.Time) int {
+	n := 0
+	for _, cr := range at.crashes {
+		if !cr.at.Before(first) && !cr.at.After(last) && !at.isExplained(cr) {
+			n++
+		}
+	}
+	return n
+}
+
 // accountsFor reports whether the part was at all engines at which another one was.
 func (su *suspect) accountsFor(other *suspect) bool {
 	return !slices.ContainsFunc(other.crashes, func(id crashID) bool { return !slices.Contains(su.crashes, id) })
@@ -372,6 +390,7 @@
 		su.successive++
 		su.counted = at
 	}
+	su.last = at
 	if len(su.crashes) <= minCrashes {
 		su.decisive = at
 	}
