fix: don't ask a silent engine whether its process has ended

Silence is no crash; only attempts that broke off are checked.

TestSilentEngineIsNotProbed failed before (one check).

--- a/internal/duty/forwarder/attempt.go
+++ b/internal/duty/forwarder/attempt.go
@@ -39,9 +39,10 @@
 }
 
 // attempt sends a request to its placement and forwards the response.
-func (fo *Forwarder) attempt(ctx context.Context, rq *Request, rs ml.Responder, pl *placement) attemptResult {
+func (fo *Forwarder) attempt(ctx context.Context, rq *Request, rs ml.Responder, pl *placement) (ar attemptResult) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer func() { ar.timedOut = errors.Is(context.Cause(ctx), errEventTimeout) }()
 	if err := fo.reserveMemory(ctx, rq, pl); err != nil {
 		return attemptResult{notRun: true, reason: "no memory for the prompt", err: err}
 	}
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -119,6 +119,7 @@
 	notRun        bool // certain that this attempt did not run
 	received      bool // the endpoint received, or may have received, the request
 	events        int  // events of a stream that were received
+	timedOut      bool // given up since no event was received in time
 	reason        string
 	err           error
 	errorResponse *bufferedResponse // error response of the endpoint, forwarded if no later attempt succeeds
--- a/internal/duty/forwarder/parts.go
+++ b/internal/duty/forwarder/parts.go
@@ -72,7 +72,8 @@
 // begun, has crashed. If so the parts of the prompt are suspect, here and at the other
 // entry VMs. It returns before the request is sent again.
 func (fo *Forwarder) reportCrash(ctx context.Context, rq *Request, pl *placement, ar attemptResult, sentAt time.Time) {
-	if len(rq.Parts) == 0 || ar.done || ar.notRun || !ar.received || ar.events >= minBegunEvents || errors.Is(ar.err, errEndpointFailure) || ctx.Err() != nil {
+	hasFailed := ar.received && !ar.done && !ar.notRun && !ar.timedOut && !errors.Is(ar.err, errEndpointFailure)
+	if len(rq.Parts) == 0 || !hasFailed || ar.events >= minBegunEvents || ctx.Err() != nil {
 		return
 	}
 	failedAt := time.Now()
