--- a/internal/duty/forwarder/crash_test.go
+++ b/internal/duty/forwarder/crash_test.go
@@ -19,6 +19,7 @@
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/decision/attributor"
 	"github.com/mulberrylever/mulberrylever/internal/decision/detector"
+	"github.com/mulberrylever/mulberrylever/internal/decision/divider"
 	"github.com/mulberrylever/mulberrylever/internal/duty/publisher"
 	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
 	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
@@ -41,6 +42,7 @@
 	other              int // engines that end each second for other reasons
 	together           int // engines that end at once, for other reasons, when the requests with crashingPart begin
 	cut                int // entry VMs that can't reach the others, but the store
+	durationS          int // of the day
 	restartMs          int // time after the first crash at which all entry VMs start anew; 0 for never
 }
 
@@ -108,6 +110,7 @@
 		Attributor: &attributor.Attributor{}, Log: log, Metrics: noMeter{}, NotifyPeers: func() {}, RetryPerCent: 18, RetryBurst: 60,
 	}
 	fo.Tracker.OnChange = fo.Wake
+	fo.Divider, fo.Membership = cf.membership(i)
 	pu := publisher.New()
 	fo.PublishCrash = pu.PublishCrash
 	pu.Parts, pu.Store, pu.Peers, pu.Log = fo.Attributor, crashStore{cf}, func() int { return len(cf.all) - 1 }, log
@@ -128,6 +131,21 @@
 	return fo, stop
 }
 
+// membership returns the division among the entry VMs of a crashFleet for one of them.
+func (cf *crashFleet) membership(i int) (*divider.Divider, func(time.Time) ml.Membership) {
+	di := &divider.Divider{Domain: ml.DomainID(fmt.Sprint("d", i%cf.domains))}
+	for j := range cf.domains {
+		di.Domains = append(di.Domains, ml.DomainID(fmt.Sprint("d", j)))
+	}
+	view := ml.Membership{Version: 1, Self: fmt.Sprint("vm", i), Settled: true}
+	for j := i % cf.domains; j < cf.domains*cf.perDomain; j += cf.domains {
+		if j != i {
+			view.Peers = append(view.Peers, fmt.Sprint("vm", j))
+		}
+	}
+	return di, func(time.Time) ml.Membership { return view }
+}
+
 // crashStore is the platform's store of a crashFleet.
 type crashStore struct{ *crashFleet }
 
@@ -493,7 +511,7 @@
 // engine after another, since its requests go on being sent.
 func TestEnginesCrashOneAfterAnother(t *testing.T) {
 	datadriven.RunTest(t, "testdata/crash", func(t *testing.T, td *datadriven.TestData) string {
-		cd := crashDay{domains: 3, perDomain: 2, engines: 14, sound: 30, crashing: 11, newsMs: 2}
+		cd := crashDay{domains: 3, perDomain: 2, engines: 14, sound: 30, crashing: 11, newsMs: 2, durationS: 25}
 		td.MaybeScanArgs(t, "perDomain", &cd.perDomain)
 		td.MaybeScanArgs(t, "engines", &cd.engines)
 		td.MaybeScanArgs(t, "sound", &cd.sound)
@@ -502,15 +520,16 @@
 		td.MaybeScanArgs(t, "other", &cd.other)
 		td.MaybeScanArgs(t, "together", &cd.together)
 		td.MaybeScanArgs(t, "cut", &cd.cut)
+		td.MaybeScanArgs(t, "durationS", &cd.durationS)
 		td.MaybeScanArgs(t, "restartMs", &cd.restartMs)
 		out := ""
 		synctest.Test(t, func(*testing.T) {
-			const calm, duration = 5 * time.Second, 25 * time.Second
+			const calm = 5 * time.Second
 			ctx, cancel := context.WithCancel(context.Background())
 			cf := newCrashFleet(ctx, cd)
 			begin := time.Now()
 			cf.wg.Go(cf.shareNews)
-			cf.play(calm, duration)
+			cf.play(calm, time.Duration(cd.durationS)*time.Second)
 			out = cf.judge(begin.Add(calm))
 			cancel()
 			cf.wg.Wait()
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -184,6 +184,7 @@
 	sentAt := time.Now()
 	ar := fo.attempt(ctx, rq, rs, pl)
 	fo.reportCrash(ctx, rq, pl, ar, sentAt)
+	rq.isTrial = false // one send is enough
 	if ar.received {
 		rq.sendCount++
 		fo.Metrics.Sent(rq, rq.sendCount)
