perf: decide on crashes ten times a second at the most for other requests

While crashes are kept that can't be attributed to a part (up to 10 minutes), each request evaluated all of them: 1.02 ms with 60 crashes. A request whose own part is undecided still does; the others after 0.1 s.

--- a/internal/decision/attributor/attributor.go
+++ b/internal/decision/attributor/attributor.go
@@ -61,7 +61,8 @@
 	cleared  map[ml.PartID]time.Time // when a part that was suspect or blocked was cleared
 	recorded map[ml.PartID]bool      // the parts that are blocked according to the platform's store
 
-	undecided map[ml.PartID]time.Time // parts that may have to be blocked, and when that is decided
+	evaluatedAt time.Time
+	undecided   map[ml.PartID]time.Time // parts that may have to be blocked, and when that is decided
 }
 
 // Change is a part that was blocked or cleared.
@@ -240,6 +241,7 @@
 // evaluate blocks the parts to which crashes are attributed, the one with the most
 // evidence first.
 func (at *Attributor) evaluate(now time.Time) []Change {
+	at.evaluatedAt = now
 	changes := []Change{}
 	for {
 		part, ids := at.mostSuspect(now)
--- a/internal/decision/attributor/attributor_test.go
+++ b/internal/decision/attributor/attributor_test.go
@@ -180,3 +180,21 @@
 		at.RecordAnswer(now, parts)
 	}
 }
+
+// BenchmarkUndecided measures the check of a sound request while crashes are kept that
+// can't be attributed, at 100 requests a second.
+func BenchmarkUndecided(b *testing.B) {
+	at := &attributor.Attributor{}
+	now := time.Unix(1_000_000, 0)
+	for i := range 60 {
+		for j := range 4 {
+			part := ml.PartID(fmt.Sprint("p", i*j%30))
+			at.RecordCrash(now, ml.SharedCrash{Endpoint: ml.EndpointID(fmt.Sprint("e", i)), Parts: []ml.PartID{"a", "b", part}, SentAgeMs: 100})
+		}
+		now = now.Add(time.Second)
+	}
+	for b.Loop() {
+		now = now.Add(10 * time.Millisecond)
+		at.Check(now, []ml.PartID{"z"}, func(ml.PartID) bool { return false })
+	}
+}
--- a/internal/decision/attributor/block.go
+++ b/internal/decision/attributor/block.go
@@ -12,6 +12,10 @@
 // taken for an older one.
 const clearPrecedence = 5 * time.Second
 
+// evaluationInterval is the time between two evaluations for requests that don't depend
+// on the decision.
+const evaluationInterval = 100 * time.Millisecond
+
 // Verdict tells whether a request may be sent.
 type Verdict struct {
 	Blocked    ml.PartID     // the part for which it is refused; empty if it may be sent
@@ -26,7 +30,7 @@
 func (at *Attributor) Check(now time.Time, parts []ml.PartID, mayTry func(ml.PartID) bool) Verdict {
 	at.mu.Lock()
 	changes := []Change{}
-	if len(at.undecided) > 0 {
+	if at.isDue(now, parts) {
 		changes = at.evaluate(now)
 	}
 	ve := at.check(now, parts, mayTry)
@@ -35,6 +39,16 @@
 	return ve
 }
 
+// isDue reports whether a decision may have become possible that matters to a request
+// with the given parts, or that others wait for.
+func (at *Attributor) isDue(now time.Time, parts []ml.PartID) bool {
+	if len(at.undecided) == 0 {
+		return false
+	}
+	isUndecided := func(part ml.PartID) bool { return !at.undecided[part].IsZero() }
+	return now.Sub(at.evaluatedAt) >= evaluationInterval || slices.ContainsFunc(parts, isUndecided)
+}
+
 func (at *Attributor) check(now time.Time, parts []ml.PartID, mayTry func(ml.PartID) bool) Verdict {
 	ve := Verdict{}
 	for _, part := range parts {
