--- /dev/null
+++ b/internal/duty/forwarder/crash_fleet_test.go
@@ -0,0 +1,449 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/attributor"
+	"github.com/mulberrylever/mulberrylever/internal/decision/detector"
+	"github.com/mulberrylever/mulberrylever/internal/decision/divider"
+	"github.com/mulberrylever/mulberrylever/internal/duty/publisher"
+	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
+	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
+)
+
+// crashDay is a day of requests, of which some have a part that crashes engines.
+type crashDay struct {
+	domains, perDomain int
+	engines            int
+	sound, crashing    int // requests per second
+	newsMs             int // delay of news between entry VMs
+	other              int // engines that end each second for other reasons
+	together           int // engines that end at once, for other reasons, when the requests with crashingPart begin
+	cut                int // entry VMs that can't reach the others, but the store
+	durationS          int // of the day
+	restartMs          int // time after the first crash at which all entry VMs start anew; 0 for never
+}
+
+// crashingPart is the part that crashes engines.
+const crashingPart = ml.PartID("bad")
+
+// crashFleet is a fleet of entry VMs before engines that end when they begin to answer
+// a prompt with crashingPart. Time is simulated.
+type crashFleet struct {
+	crashDay
+	ctx context.Context
+	wg  sync.WaitGroup
+
+	mu         sync.Mutex
+	random     *rand.Rand
+	all        []*Forwarder
+	stops      []context.CancelFunc // of the processes of all
+	processes  map[*Forwarder]context.Context
+	engineByID map[ml.EndpointID]*crashEngine
+	lastOffset ml.Offset
+	lastNumber int
+	crashes    []time.Time // of engines, because of crashingPart
+	sends      []time.Time // of requests with crashingPart, as they reach engines
+	results    []soundResult
+	wrong      map[ml.PartID]bool // parts other than crashingPart that were blocked
+	stored     map[ml.PartID]bool // blocked parts in the store
+	recorded   []storedCrash      // crashes in the store
+}
+
+// crashEngine is an engine of a crashFleet.
+type crashEngine struct {
+	id    ml.EndpointID
+	ended bool
+	open  map[*io.PipeWriter]bool // answers that are being written
+}
+
+// soundResult tells how a request without crashingPart began.
+type soundResult struct {
+	at           time.Time
+	firstAttempt bool // it began to be answered at the first attempt
+}
+
+func newCrashFleet(ctx context.Context, cd crashDay) *crashFleet {
+	cf := &crashFleet{
+		crashDay: cd, ctx: ctx, random: rand.New(rand.NewPCG(1, 2)), engineByID: make(map[ml.EndpointID]*crashEngine),
+		processes: make(map[*Forwarder]context.Context), wrong: make(map[ml.PartID]bool), stored: make(map[ml.PartID]bool),
+	}
+	for i := range cd.domains * cd.perDomain {
+		fo, stop := cf.newEntry(i)
+		cf.all, cf.stops = append(cf.all, fo), append(cf.stops, stop)
+	}
+	for range cd.engines {
+		cf.startEngine()
+	}
+	return cf
+}
+
+// newEntry starts the process of an entry VM.
+func (cf *crashFleet) newEntry(i int) (*Forwarder, context.CancelFunc) {
+	ctx, stop := context.WithCancel(cf.ctx)
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	fo := &Forwarder{
+		Self: ml.VMID(fmt.Sprint("vm", i)), StartedAt: time.Now(), Domain: ml.DomainID(fmt.Sprint("d", i%cf.domains)), Exchanger: crashExchanger{cf},
+		Catalog: &cataloger.Cataloger{Decoder: engineDecoder{}, Log: log}, Tracker: &tracker.Tracker{}, Detector: &detector.Detector{},
+		Attributor: &attributor.Attributor{}, Log: log, Metrics: noMeter{}, NotifyPeers: func() {}, RetryPerCent: 18, RetryBurst: 60,
+	}
+	fo.Tracker.OnChange = fo.Wake
+	fo.Divider, fo.Membership = cf.membership(i)
+	pu := publisher.New()
+	fo.PublishCrash = pu.PublishCrash
+	pu.Parts, pu.Store, pu.Peers, pu.Log = fo.Attributor, crashStore{cf}, func() int { return len(cf.all) - 1 }, log
+	fo.Attributor.OnChange = func(ch attributor.Change) {
+		if ch.Blocked && ch.Part != crashingPart {
+			cf.mu.Lock()
+			cf.wrong[ch.Part] = true
+			cf.mu.Unlock()
+		}
+		if ch.Source == attributor.FromCrashes {
+			fo.Tracker.ShareBlocked(ch.Part)
+		}
+		pu.Signal()
+	}
+	cf.wg.Go(func() { _ = fo.Run(ctx) })
+	cf.wg.Go(func() { _ = pu.Run(ctx) })
+	cf.processes[fo] = ctx
+	return fo, stop
+}
+
+// membership returns the division among the entry VMs of a crashFleet for one of them.
+func (cf *crashFleet) membership(i int) (*divider.Divider, func(time.Time) ml.Membership) {
+	di := &divider.Divider{Domain: ml.DomainID(fmt.Sprint("d", i%cf.domains))}
+	for j := range cf.domains {
+		di.Domains = append(di.Domains, ml.DomainID(fmt.Sprint("d", j)))
+	}
+	view := ml.Membership{Version: 1, Self: fmt.Sprint("vm", i), Settled: true}
+	for j := i % cf.domains; j < cf.domains*cf.perDomain; j += cf.domains {
+		if j != i {
+			view.Peers = append(view.Peers, fmt.Sprint("vm", j))
+		}
+	}
+	return di, func(time.Time) ml.Membership { return view }
+}
+
+// crashStore is the platform's store of a crashFleet.
+type crashStore struct{ *crashFleet }
+
+// RecordCrash implements ml.PartRecorder.
+func (cs crashStore) RecordCrash(_ context.Context, now time.Time, sc ml.SharedCrash) error {
+	const delay = 10 * time.Millisecond
+	time.Sleep(delay)
+	cs.mu.Lock()
+	cs.recorded = append(cs.recorded, storedCrash{sc, now})
+	cs.mu.Unlock()
+	all := cs.entries()
+	cs.wg.Go(func() {
+		time.Sleep(delay)
+		for _, fo := range all {
+			fo.Attributor.RecordCrash(time.Now(), sc)
+		}
+	})
+	return nil
+}
+
+// storedCrash is a crash in the store, with ages relative to at.
+type storedCrash struct {
+	ml.SharedCrash
+	at time.Time
+}
+
+// RecordPart implements ml.PartRecorder.
+func (cs crashStore) RecordPart(_ context.Context, part ml.PartID, blocked bool) error {
+	const delay = 10 * time.Millisecond
+	time.Sleep(delay)
+	cs.mu.Lock()
+	cs.stored[part] = blocked
+	all := slices.Clone(cs.all)
+	cs.mu.Unlock()
+	cs.wg.Go(func() {
+		time.Sleep(delay)
+		for _, fo := range all {
+			fo.Attributor.ApplyRecord(time.Now(), part, blocked)
+		}
+	})
+	return nil
+}
+
+// restart replaces all entry VMs by new ones, which know what is in the store.
+func (cf *crashFleet) restart() {
+	for i := range cf.all {
+		cf.stops[i]()
+		fo, stop := cf.newEntry(i)
+		cf.stops[i] = stop
+		cf.mu.Lock()
+		for id, en := range cf.engineByID {
+			if !en.ended {
+				fo.Catalog.Merge(time.Now(), []ml.KeyRecord{{Topic: "t", Key: string(id), Value: []byte("x"), Offset: cf.lastOffset}}, nil)
+			}
+		}
+		stored, recorded := maps.Clone(cf.stored), slices.Clone(cf.recorded)
+		cf.all[i] = fo
+		cf.mu.Unlock()
+		for part, blocked := range stored {
+			fo.Attributor.ApplyRecord(time.Now(), part, blocked)
+		}
+		for _, sc := range recorded {
+			age := time.Since(sc.at).Milliseconds()
+			sc.AgeMs += age
+			sc.SentAgeMs += age
+			fo.Attributor.RecordCrash(time.Now(), sc.SharedCrash)
+		}
+	}
+}
+
+// endOthers ends some engines at once for another reason than crashingPart.
+func (cf *crashFleet) endOthers(n int) {
+	cf.mu.Lock()
+	defer cf.mu.Unlock()
+	for _, en := range cf.engineByID {
+		if n > 0 && !en.ended {
+			cf.end(en)
+			n--
+		}
+	}
+}
+
+// startEngine starts an engine and lists it at all entry VMs.
+func (cf *crashFleet) startEngine() {
+	cf.mu.Lock()
+	cf.lastNumber++
+	en := &crashEngine{id: ml.EndpointID(fmt.Sprint("e", cf.lastNumber)), open: make(map[*io.PipeWriter]bool)}
+	cf.engineByID[en.id] = en
+	cf.mu.Unlock()
+	cf.list(en.id, []byte("x"))
+}
+
+// list writes an engine's record, or deletes it if the value is nil.
+func (cf *crashFleet) list(id ml.EndpointID, value []byte) {
+	cf.mu.Lock()
+	cf.lastOffset++
+	re := ml.KeyRecord{Topic: "t", Key: string(id), Value: value, Offset: cf.lastOffset}
+	cf.mu.Unlock()
+	for _, fo := range cf.entries() {
+		fo.Catalog.Merge(time.Now(), []ml.KeyRecord{re}, nil)
+		fo.Wake()
+	}
+}
+
+// end ends an engine's process. Its answers break off. Later its record expires, and
+// another engine starts. The caller must hold cf.mu.
+func (cf *crashFleet) end(en *crashEngine) {
+	const heartbeatTimeout, restartTime = 3600 * time.Millisecond, time.Second
+	en.ended = true
+	for pw := range en.open {
+		_ = pw.CloseWithError(io.ErrUnexpectedEOF)
+	}
+	cf.wg.Go(func() {
+		time.Sleep(heartbeatTimeout)
+		cf.list(en.id, nil)
+		time.Sleep(restartTime)
+		cf.startEngine()
+	})
+}
+
+// intBetween returns a random number from low up to, and not including, high.
+func (cf *crashFleet) intBetween(low, high int) int {
+	cf.mu.Lock()
+	defer cf.mu.Unlock()
+	return low + cf.random.IntN(high-low)
+}
+
+// crashExchanger sends requests to the engines of a crashFleet.
+type crashExchanger struct{ *crashFleet }
+
+// headerParts holds the parts of a prompt in these tests.
+const headerParts = "Parts"
+
+// Exchange implements ml.Exchanger.
+func (ce crashExchanger) Exchange(_ context.Context, ep ml.ListedEndpoint, out *ml.OutboundRequest) (*ml.Answer, error) {
+	time.Sleep(2 * time.Millisecond)
+	ce.mu.Lock()
+	defer ce.mu.Unlock()
+	en := ce.engineByID[ep.ID]
+	if en.ended {
+		return nil, &ml.Error{Type: ml.ErrUnavailable, Step: "dial", NotRun: true, Err: io.ErrClosedPipe}
+	}
+	isCrashing := slices.Contains(out.Header[headerParts], string(crashingPart))
+	if isCrashing {
+		ce.sends = append(ce.sends, time.Now())
+	}
+	pr, pw := io.Pipe()
+	en.open[pw] = true
+	ce.wg.Go(func() { ce.answer(en, pw, isCrashing) })
+	return &ml.Answer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Sealed: true, Body: pr, Close: func() { _ = pr.Close() }}, nil
+}
+
+func (crashExchanger) ReserveMemory(context.Context, ml.ListedEndpoint, ml.HoldID, ml.Tokens, time.Duration) error {
+	return nil
+}
+
+func (crashExchanger) ReleaseMemory(context.Context, ml.ListedEndpoint, ml.HoldID) error { return nil }
+
+// HasEnded implements ml.Exchanger.
+func (ce crashExchanger) HasEnded(_ context.Context, ep ml.ListedEndpoint) bool {
+	time.Sleep(2 * time.Millisecond)
+	ce.mu.Lock()
+	defer ce.mu.Unlock()
+	return ce.engineByID[ep.ID].ended
+}
+
+// answer writes an answer after the prefill. With crashingPart the engine ends instead.
+func (cf *crashFleet) answer(en *crashEngine, pw *io.PipeWriter, isCrashing bool) {
+	const events, eventInterval = 15, 45 * time.Millisecond
+	defer func() {
+		cf.mu.Lock()
+		defer cf.mu.Unlock()
+		delete(en.open, pw)
+		_ = pw.Close()
+	}()
+	time.Sleep(time.Duration(cf.intBetween(60, 250)) * time.Millisecond)
+	cf.mu.Lock()
+	if isCrashing && !en.ended {
+		cf.crashes = append(cf.crashes, time.Now())
+		cf.end(en)
+	}
+	cf.mu.Unlock()
+	for i := range events {
+		if _, err := fmt.Fprintf(pw, "id: %d\ndata: x\n\n", i+1); err != nil {
+			return
+		}
+		time.Sleep(eventInterval)
+	}
+}
+
+// beginResponder records whether an answer began at the first attempt.
+type beginResponder struct {
+	discardResponder
+	rq           *Request
+	firstAttempt bool
+	failed       bool
+}
+
+// Write implements ml.Responder.
+func (br *beginResponder) Write([]byte) error {
+	br.firstAttempt = br.firstAttempt || br.rq.sendCount == 0
+	return nil
+}
+
+// Refuse implements ml.Responder.
+func (br *beginResponder) Refuse(ml.Refusal) { br.failed = true }
+
+// Abort implements ml.Responder.
+func (br *beginResponder) Abort() { br.failed = true }
+
+// send sends one request to a random entry VM and reports whether it failed.
+func (cf *crashFleet) send(parts ...ml.PartID) (soundResult, bool) {
+	now := time.Now()
+	rq := request(16)
+	rq.Route = &ml.Route{Kind: ml.RouteStream, Resumable: true, MaxAttempts: 2, Target: 300 * time.Millisecond, GapTarget: 250 * time.Millisecond}
+	rq.Arrived, rq.FirstEventTarget, rq.FirstEventDeadline, rq.Deadline = now, now.Add(300*time.Millisecond), now.Add(2*time.Second), now.Add(10*time.Second)
+	rq.Parts = parts
+	rq.Outgoing.Header = http.Header{}
+	for _, part := range parts {
+		rq.Outgoing.Header.Add(headerParts, string(part))
+	}
+	br := &beginResponder{rq: rq}
+	fo := cf.entries()[cf.intBetween(0, len(cf.all))]
+	fo.Forward(cf.processes[fo], rq, br)
+	return soundResult{now, br.firstAttempt}, br.failed
+}
+
+func (cf *crashFleet) entries() []*Forwarder {
+	cf.mu.Lock()
+	defer cf.mu.Unlock()
+	return slices.Clone(cf.all)
+}
+
+// shareNews delivers the changes of each entry VM to the others, after a delay.
+func (cf *crashFleet) shareNews() {
+	const interval, fullEvery = 4 * time.Millisecond, 125
+	for round := 1; cf.ctx.Err() == nil; round++ {
+		all := cf.entries()
+		for i, from := range all {
+			sm, found := from.Tracker.TakeChanges()
+			if round%fullEvery == 0 {
+				sm.Blocked = append(sm.Blocked, from.Attributor.Blocked(time.Now())...)
+			}
+			if !found && len(sm.Blocked) == 0 || i < cf.cut {
+				continue
+			}
+			sm.From = from.Self
+			cf.wg.Go(func() {
+				time.Sleep(time.Duration(cf.newsMs) * time.Millisecond)
+				for _, to := range all[cf.cut:] {
+					if to != from {
+						to.Tracker.ApplyPeerUpdate(time.Now(), sm)
+						if cleared := to.Attributor.ApplyPeerUpdate(time.Now(), sm); len(cleared) > 0 {
+							to.Tracker.ShareCleared(cleared)
+						}
+					}
+				}
+			})
+		}
+		time.Sleep(interval)
+	}
+}
+
+// play plays the day: sound requests from the start, and requests with crashingPart,
+// which the callers repeat once, from calm on.
+func (cf *crashFleet) play(calm, duration time.Duration) {
+	const step = 10 * time.Millisecond
+	sound, crashing, other := 0, 0, 0
+	restarted, ended := cf.restartMs == 0, false
+	for begin := time.Now(); time.Since(begin) < duration; time.Sleep(step) {
+		for sound += cf.sound; sound >= int(time.Second/step); sound -= int(time.Second / step) {
+			subject := ml.PartID(fmt.Sprint("subject", cf.intBetween(0, 40)))
+			cf.wg.Go(func() {
+				sr, _ := cf.send("system", subject)
+				cf.mu.Lock()
+				defer cf.mu.Unlock()
+				cf.results = append(cf.results, sr)
+			})
+		}
+		if time.Since(begin) < calm {
+			continue
+		}
+		if !ended {
+			cf.endOthers(cf.together)
+			ended = true
+		}
+		if !restarted && cf.crashedFor() >= time.Duration(cf.restartMs)*time.Millisecond {
+			cf.restart()
+			restarted = true
+		}
+		for other += cf.other; other >= int(time.Second/step); other -= int(time.Second / step) {
+			cf.endOthers(1)
+		}
+		for crashing += cf.crashing; crashing >= int(time.Second/step); crashing -= int(time.Second / step) {
+			subject := ml.PartID(fmt.Sprint("subject", cf.intBetween(0, 40)))
+			cf.wg.Go(func() {
+				if _, failed := cf.send("system", subject, crashingPart); failed {
+					cf.send("system", subject, crashingPart)
+				}
+			})
+		}
+	}
+}
+
+// crashedFor returns the time since the first crash.
+func (cf *crashFleet) crashedFor() time.Duration {
+	cf.mu.Lock()
+	defer cf.mu.Unlock()
+	if len(cf.crashes) == 0 {
+		return 0
+	}
+	return time.Since(cf.crashes[0])
+}
