--- a/internal/duty/verifier/verifier_test.go
+++ b/internal/duty/verifier/verifier_test.go
@@ -81,7 +81,7 @@
 				go func() {
 					const interval = 100 * time.Millisecond
 					for begin := time.Now(); ctx.Err() == nil && (ca.readUntil == 0 || time.Since(begin) < ca.readUntil); pacer.Sleep(ctx, interval) {
-						catalog.RecordRead(time.Now(), "t")
+						catalog.RecordRead(time.Now(), time.Now(), "t")
 					}
 				}()
 				crash := ml.SharedCrash{Endpoint: "e", Parts: []ml.PartID{"p"}, AgeMs: ca.age.Milliseconds()}
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -63,31 +63,40 @@
 	endpoints       map[ml.EndpointID]Listing
 	storeFailedAt   time.Time                  // when the store last failed to answer
 	readAt          map[ml.TopicName]time.Time // when the store last answered a read of a topic
+	confirmedAt     map[ml.TopicName]time.Time // when the newest read of a topic that was answered was sent
 	reusedAddresses map[ml.EndpointID]ml.Incarnation
 }
 
 // Merge applies records, and the offsets up to which their source has read each
 // topic. Records older than the known ones are ignored.
 func (ca *Cataloger) Merge(now time.Time, records []ml.KeyRecord, nextOffsets map[ml.TopicName]ml.Offset) {
-	ca.mergeAll(now, records, nextOffsets)
+	ca.mergeAll(now, records, nextOffsets, fromPeer)
 }
 
 // MergeFromStore applies records read from the store itself. The topic has been
 // read up to the offset end. Records that change the catalog are passed to
 // OnStoreRecords.
 func (ca *Cataloger) MergeFromStore(now time.Time, to ml.TopicName, records []ml.KeyRecord, end ml.Offset) {
-	changed := ca.mergeAll(now, records, map[ml.TopicName]ml.Offset{to: end})
+	changed := ca.mergeAll(now, records, map[ml.TopicName]ml.Offset{to: end}, fromStore)
 	if len(changed) > 0 && ca.OnStoreRecords != nil {
 		ca.OnStoreRecords(changed)
 	}
 }
 
+// source is where a record came from.
+type source string
+
+const (
+	fromStore source = "store"
+	fromPeer  source = "peer"
+)
+
 // mergeAll applies records and returns those that change the catalog.
-func (ca *Cataloger) mergeAll(now time.Time, records []ml.KeyRecord, nextOffsets map[ml.TopicName]ml.Offset) []ml.KeyRecord {
+func (ca *Cataloger) mergeAll(now time.Time, records []ml.KeyRecord, nextOffsets map[ml.TopicName]ml.Offset, so source) []ml.KeyRecord {
 	ca.mu.Lock()
 	changed := []ml.KeyRecord{}
 	for _, re := range records {
-		if ca.mergeRecord(now, re) {
+		if ca.mergeRecord(now, re, so) {
 			changed = append(changed, re)
 		}
 	}
@@ -105,7 +114,7 @@
 }
 
 // mergeRecord applies one record and reports whether it changes the catalog.
-func (ca *Cataloger) mergeRecord(now time.Time, re ml.KeyRecord) bool {
+func (ca *Cataloger) mergeRecord(now time.Time, re ml.KeyRecord, so source) bool {
 	if ca.records == nil {
 		ca.records = make(map[ml.TopicName]map[string]ml.KeyRecord)
 	}
@@ -118,10 +127,10 @@
 		return false
 	}
 	keys[re.Key] = re
-	return ca.apply(now, re)
+	return ca.apply(now, re, so)
 }
 
-func (ca *Cataloger) apply(now time.Time, re ml.KeyRecord) bool {
+func (ca *Cataloger) apply(now time.Time, re ml.KeyRecord, so source) bool {
 	if do, found := ca.Decoder.Domain(re); found {
 		ca.applyDomain(do, re)
 		return true
@@ -133,7 +142,7 @@
 		return true
 	}
 	if co, found, err := ca.Decoder.Config(re); found || err != nil {
-		ca.applyConfig(re, co, err)
+		ca.applyConfig(re, co, err, so)
 		return true
 	}
 	return ca.applyEndpoint(now, re)
@@ -147,7 +156,7 @@
 	ca.Log.Info("domain", "domain", do, "out", re.Value != nil, "offset", re.Offset)
 }
 
-func (ca *Cataloger) applyConfig(re ml.KeyRecord, co ml.ServingConfig, err error) {
+func (ca *Cataloger) applyConfig(re ml.KeyRecord, co ml.ServingConfig, err error, so source) {
 	if err != nil {
 		ca.Log.Error("cannot decode configuration, keeping the one in force", "offset", re.Offset, "error", err)
 		return
@@ -157,7 +166,7 @@
 		return
 	}
 	ca.config = &co
-	ca.Log.Info("configuration in force", "version", co.Version, "routes", len(co.Routes), "teams", len(co.Teams), "offset", re.Offset)
+	ca.Log.Info("configuration in force", "version", co.Version, "routes", len(co.Routes), "teams", len(co.Teams), "offset", re.Offset, "source", so)
 }
 
 // PruneRemoved drops endpoints whose records were deleted longer than age ago.
@@ -172,15 +181,26 @@
 	}
 }
 
-// RecordRead records that the store has answered a read of a topic, and that its records
-// are applied.
-func (ca *Cataloger) RecordRead(now time.Time, to ml.TopicName) {
+// RecordRead records that the store has answered a read of a topic that was sent at
+// sentAt, and that its records are applied.
+func (ca *Cataloger) RecordRead(now, sentAt time.Time, to ml.TopicName) {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
 	if ca.readAt == nil {
-		ca.readAt = make(map[ml.TopicName]time.Time)
+		ca.readAt, ca.confirmedAt = make(map[ml.TopicName]time.Time), make(map[ml.TopicName]time.Time)
 	}
 	ca.readAt[to] = now
+	if sentAt.After(ca.confirmedAt[to]) {
+		ca.confirmedAt[to] = sentAt
+	}
+}
+
+// ConfirmedAt returns a time up to which the catalog has all records of a topic that the
+// store had acknowledged. It is zero before the first read.
+func (ca *Cataloger) ConfirmedAt(to ml.TopicName) time.Time {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	return ca.confirmedAt[to]
 }
 
 // RecordStoreFailure records that the store failed to answer at now.
