fix: an entry VM refuses for good only what the newest configuration doesn't allow

Cause, and its class: "there is no such route" and "I don't know of one" were the same answer. Whatever keeps a VM from the newest configuration (a lost answer, a freeze, a cut, a restart) made it say the first.

The index of routes and keys now belongs to the catalog's configuration itself: before, it was compared and stored in two steps by concurrent callbacks, as were the limits, which are now applied under a lock that looks the newest up.

--- a/internal/adapter/acceptor/acceptor.go
+++ b/internal/adapter/acceptor/acceptor.go
@@ -41,6 +41,13 @@
 		return
 	}
 	ac.limits = li
+	ac.startServer()
+}
+
+// startServer starts an HTTP server with the limits in force, which takes the place of the
+// one before. The caller must hold ac.mu.
+func (ac *Acceptor) startServer() {
+	li := ac.limits
 	if ac.listener != nil {
 		ac.listener.stop()
 	}
@@ -63,7 +70,7 @@
 // Run accepts connections at a listener until ctx ends, and then closes the
 // listener and all connections.
 func (ac *Acceptor) Run(ctx context.Context, li net.Listener) error {
-	ac.SetLimits(ac.currentLimits())
+	ac.startFirstServer()
 	stop := context.AfterFunc(ctx, func() { _ = li.Close() })
 	defer stop()
 	defer ac.close()
@@ -79,7 +86,17 @@
 	}
 }
 
-func (ac *Acceptor) currentLimits() ml.CallerLimits {
+// startFirstServer starts a server unless SetLimits has done so.
+func (ac *Acceptor) startFirstServer() {
+	ac.mu.Lock()
+	defer ac.mu.Unlock()
+	if ac.listener == nil {
+		ac.startServer()
+	}
+}
+
+// Limits returns the limits of new connections.
+func (ac *Acceptor) Limits() ml.CallerLimits {
 	ac.mu.Lock()
 	defer ac.mu.Unlock()
 	return ac.limits
--- /dev/null
+++ b/internal/duty/confirmer/confirmer_test.go
@@ -0,0 +1,112 @@
+package confirmer_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/mulberrylever/mulberrylever/internal/duty/confirmer"
+)
+
+const maxAge = 500 * time.Millisecond
+
+// store is a store whose reads take a time and may fail.
+type store struct {
+	took time.Duration
+	err  error
+
+	mu          sync.Mutex
+	confirmedAt time.Time
+	reads       int
+}
+
+func (st *store) read(ctx context.Context) error {
+	sentAt := time.Now()
+	st.mu.Lock()
+	st.reads++
+	st.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(st.took):
+	}
+	if st.err != nil {
+		return st.err
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.confirmedAt = sentAt
+	return nil
+}
+
+func (st *store) at() time.Time {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.confirmedAt
+}
+
+func (st *store) confirmer() *confirmer.Confirmer {
+	return &confirmer.Confirmer{ConfirmedAt: st.at, Read: st.read, MaxAge: maxAge}
+}
+
+// TestConfirm checks that a configuration is confirmed by a read that was sent no longer
+// than MaxAge before the call, and by nothing else.
+func TestConfirm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		st := &store{took: 4 * time.Millisecond}
+		co := st.confirmer()
+		g.Expect(co.Confirm(t.Context(), time.Now())).To(gomega.BeTrue())
+		g.Expect(co.Confirm(t.Context(), time.Now())).To(gomega.BeTrue())
+		g.Expect(st.reads).To(gomega.Equal(1), "a recent confirmation is used again")
+		time.Sleep(maxAge)
+		st.err = errors.New("away")
+		g.Expect(co.Confirm(t.Context(), time.Now())).To(gomega.BeFalse())
+		st.err = nil
+		g.Expect(co.Confirm(t.Context(), time.Now())).To(gomega.BeFalse(), "right after a failure the store is not asked")
+		g.Expect(st.reads).To(gomega.Equal(2))
+		time.Sleep(maxAge)
+		g.Expect(co.Confirm(t.Context(), time.Now())).To(gomega.BeTrue())
+	})
+}
+
+// TestConfirmSilentStore checks that a call doesn't wait long for a store that is silent,
+// and that an answer that comes after a freeze confirms nothing.
+func TestConfirmSilentStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		st := &store{took: time.Hour}
+		co := st.confirmer()
+		start := time.Now()
+		g.Expect(co.Confirm(t.Context(), start)).To(gomega.BeFalse())
+		g.Expect(time.Since(start)).To(gomega.BeNumerically("<=", maxAge))
+		st.mu.Lock()
+		st.confirmedAt = time.Now()
+		st.mu.Unlock()
+		g.Expect(co.Confirm(t.Context(), time.Now().Add(time.Minute))).To(gomega.BeFalse(), "confirmed before the entry VM was frozen")
+	})
+}
+
+// TestConfirmTogether checks that concurrent calls share one read.
+func TestConfirmTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		st := &store{took: 50 * time.Millisecond}
+		co := st.confirmer()
+		wg := sync.WaitGroup{}
+		for range 100 {
+			wg.Go(func() {
+				if !co.Confirm(t.Context(), time.Now()) {
+					t.Error("not confirmed")
+				}
+			})
+		}
+		wg.Wait()
+		g.Expect(st.reads).To(gomega.Equal(1))
+	})
+}
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -10,6 +10,7 @@
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/matcher"
 )
 
 // Decoder decodes records in the platform's formats.
@@ -59,6 +60,7 @@
 	records         map[ml.TopicName]map[string]ml.KeyRecord
 	nextOffsets     map[ml.TopicName]ml.Offset
 	config          *ml.ServingConfig
+	matcher         *matcher.Matcher // of config
 	domainsOut      map[ml.DomainID]bool
 	endpoints       map[ml.EndpointID]Listing
 	storeFailedAt   time.Time                  // when the store last failed to answer
@@ -165,7 +167,7 @@
 		ca.Log.Warn("ignoring configuration that is not newer than the one in force", "version", co.Version, "inForce", ca.config.Version)
 		return
 	}
-	ca.config = &co
+	ca.config, ca.matcher = &co, matcher.New(&co)
 	ca.Log.Info("configuration in force", "version", co.Version, "routes", len(co.Routes), "teams", len(co.Teams), "offset", re.Offset, "source", so)
 }
 
@@ -229,6 +231,13 @@
 	return ca.config
 }
 
+// Matcher returns the index of the configuration in force, or nil before there is one.
+func (ca *Cataloger) Matcher() *matcher.Matcher {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	return ca.matcher
+}
+
 // NextOffsets returns the offset at which to continue reading each topic.
 func (ca *Cataloger) NextOffsets() map[ml.TopicName]ml.Offset {
 	ca.mu.Lock()
