fix: read the store from where this entry VM has read it, whatever others say

What callers would see: an entry VM that never hears of a configuration, or of an engine that is gone, until the next record of the topic.

A digest told up to where a peer had read; the records were fetched with a second call, and the position was raised to what the first had said. If the peer's process was replaced in between, or it had started after a key was deleted (its listing has no deletions), the position passed records that nobody had delivered, and the follower of the store continued behind them.

Change: the follower's position is raised by its own reads alone. What peers pass on counts only for what is fetched from peers, and the offsets come with the records, as of the same moment (recordsWithOffsets). Entry VMs of earlier releases are asked by the old method, whose reply raises nothing, and may ask by it: TestRecordsOfEarlierRelease.

--- a/exchange.go
+++ b/exchange.go
@@ -251,8 +251,16 @@
 	Share(ctx context.Context, address string, em EncodedMessage) (ShareAck, error)
 	// Notify sends a message without acknowledgement.
 	Notify(ctx context.Context, address string, em EncodedMessage) error
-	// Records fetches the records that a peer has read from the given offsets on.
-	Records(ctx context.Context, address string, from map[TopicName]Offset) ([]KeyRecord, error)
+	// Records fetches the records that a peer knows from the given offsets on.
+	Records(ctx context.Context, address string, from map[TopicName]Offset) (RecordsReply, error)
+}
+
+// RecordsReply holds the records that an entry VM knows from some offsets on.
+type RecordsReply struct {
+	Records []KeyRecord `json:"records"`
+	// NextOffsets are the offsets up to which it knows them, as of the same moment. Entry
+	// VMs of earlier releases don't say so.
+	NextOffsets map[TopicName]Offset `json:"heads,omitempty"`
 }
 
 // ShareAck acknowledges a ShareMessage.
@@ -264,5 +272,5 @@
 // ShareHandler handles messages and requests of SharePeers.
 type ShareHandler interface {
 	OnShare(sm ShareMessage) ShareAck
-	OnRecords(from map[TopicName]Offset) []KeyRecord
+	OnRecords(from map[TopicName]Offset) RecordsReply
 }
--- a/internal/adapter/messenger/messenger.go
+++ b/internal/adapter/messenger/messenger.go
@@ -27,7 +27,10 @@
 	methodGrantEvents = "tell"
 	methodState       = "state"
 	methodShare       = "share"
-	methodRecords     = "records"
+	methodRecords     = "recordsWithOffsets"
+	// methodBareRecords is methodRecords in entry VMs of earlier releases. Its result is
+	// the records alone.
+	methodBareRecords = "records"
 )
 
 const dialTimeout = time.Second
@@ -91,9 +94,13 @@
 }
 
 // Records implements ml.SharePeers.
-func (me *Messenger) Records(ctx context.Context, address string, after map[ml.TopicName]ml.Offset) ([]ml.KeyRecord, error) {
-	out := []ml.KeyRecord{}
+func (me *Messenger) Records(ctx context.Context, address string, after map[ml.TopicName]ml.Offset) (ml.RecordsReply, error) {
+	out := ml.RecordsReply{}
 	err := me.call(ctx, address, methodRecords, after, &out)
+	var re *jsonrpc2.Error
+	if errors.As(err, &re) && re.Code == jsonrpc2.CodeMethodNotFound {
+		err = me.call(ctx, address, methodBareRecords, after, &out.Records)
+	}
 	return out, err
 }
 
@@ -244,7 +251,7 @@
 // Handle implements jsonrpc2.Handler.
 func (ss *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
 	switch {
-	case ss.shareHandler != nil && (rq.Method == methodShare || rq.Method == methodRecords):
+	case ss.shareHandler != nil && (rq.Method == methodShare || rq.Method == methodRecords || rq.Method == methodBareRecords):
 		ss.handleSharing(ctx, conn, rq)
 	case ss.peerHandler != nil:
 		ss.handlePeer(ctx, conn, rq)
@@ -262,6 +269,11 @@
 		if decodeParams(ctx, conn, rq, &after) {
 			_ = conn.Reply(ctx, rq.ID, ss.shareHandler.OnRecords(after))
 		}
+	case methodBareRecords:
+		after := map[ml.TopicName]ml.Offset{}
+		if decodeParams(ctx, conn, rq, &after) {
+			_ = conn.Reply(ctx, rq.ID, append([]ml.KeyRecord{}, ss.shareHandler.OnRecords(after).Records...))
+		}
 	}
 }
 
--- a/internal/adapter/messenger/share_test.go
+++ b/internal/adapter/messenger/share_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/onsi/gomega"
+	"github.com/sourcegraph/jsonrpc2"
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/adapter/messenger"
@@ -23,8 +24,11 @@
 	return ml.ShareAck{NextOffsets: map[ml.TopicName]ml.Offset{"t": 7}}
 }
 
-func (sh shareHandler) OnRecords(after map[ml.TopicName]ml.Offset) []ml.KeyRecord {
-	return []ml.KeyRecord{{Topic: "t", Key: "k", Value: []byte("v"), Offset: after["t"]}}
+func (sh shareHandler) OnRecords(after map[ml.TopicName]ml.Offset) ml.RecordsReply {
+	return ml.RecordsReply{
+		Records:     []ml.KeyRecord{{Topic: "t", Key: "k", Value: []byte("v"), Offset: after["t"]}},
+		NextOffsets: map[ml.TopicName]ml.Offset{"t": 8},
+	}
 }
 
 func serve(tb testing.TB) (string, shareHandler) {
@@ -66,11 +70,53 @@
 	g.Expect(<-sh.received).To(gomega.Equal(newMessage()))
 	records, err := me.Records(context.Background(), address, map[ml.TopicName]ml.Offset{"t": 3})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(records).To(gomega.Equal([]ml.KeyRecord{{Topic: "t", Key: "k", Value: []byte("v"), Offset: 3}}))
+	g.Expect(records).To(gomega.Equal(sh.OnRecords(map[ml.TopicName]ml.Offset{"t": 3})))
 	_, err = me.Share(context.Background(), "127.0.0.1:1", mustPack(newMessage()))
 	g.Expect(err).To(gomega.HaveOccurred())
 }
 
+// earlierRelease handles requests like an entry VM of an earlier release.
+type earlierRelease struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (earlierRelease) Handle(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
+	if rq.Method != "records" {
+		_ = conn.ReplyWithError(ctx, rq.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: rq.Method})
+		return
+	}
+	_ = conn.Reply(ctx, rq.ID, []ml.KeyRecord{{Topic: "t", Key: "k", Value: []byte("v"), Offset: 3}})
+}
+
+// TestRecordsOfEarlierRelease checks that entry VMs of two releases fetch records from each
+// other: the earlier ones neither send nor expect offsets with them.
+func TestRecordsOfEarlierRelease(t *testing.T) {
+	g := gomega.NewWithT(t)
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = li.Close() })
+	go func() {
+		nc, err := li.Accept()
+		if err == nil {
+			jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(nc, jsonrpc2.VarintObjectCodec{}), earlierRelease{})
+		}
+	}()
+	me := &messenger.Messenger{}
+	defer me.Close()
+	from := map[ml.TopicName]ml.Offset{"t": 3}
+	reply, err := me.Records(context.Background(), li.Addr().String(), from)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(reply).To(gomega.Equal(ml.RecordsReply{Records: []ml.KeyRecord{{Topic: "t", Key: "k", Value: []byte("v"), Offset: 3}}}))
+
+	address, sh := serve(t)
+	nc, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	earlier := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(nc, jsonrpc2.VarintObjectCodec{}), earlierRelease{})
+	defer earlier.Close()
+	records := []ml.KeyRecord{}
+	g.Expect(earlier.Call(context.Background(), "records", from, &records)).To(gomega.Succeed())
+	g.Expect(records).To(gomega.Equal(sh.OnRecords(from).Records))
+}
+
 // FuzzUnpack checks that arbitrary bytes of a peer don't make Unpack panic, and that
 // a message stays the same when it is packed and unpacked again.
 func FuzzUnpack(f *testing.F) {
--- a/internal/duty/sharer/sharer.go
+++ b/internal/duty/sharer/sharer.go
@@ -265,8 +265,9 @@
 	}
 }
 
-// fetchRecords fetches the records that a member has read and this entry VM has not.
-// Only one fetch runs at a time.
+// fetchRecords fetches the records that a member knows and this entry VM doesn't. Only one
+// fetch runs at a time. What the member knew when it sent its offsets may be gone by the
+// time it replies, since its process may have been replaced: only the reply counts.
 func (sh *Sharer) fetchRecords(ctx context.Context, address string, nextOffsets map[ml.TopicName]ml.Offset) {
 	own := sh.Catalog.NextOffsets()
 	behind := false
@@ -279,12 +280,12 @@
 	defer sh.fetching.Store(false)
 	callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	records, err := sh.Peers.Records(callCtx, address, own)
+	reply, err := sh.Peers.Records(callCtx, address, own)
 	if err != nil {
 		sh.Log.Warn("store records not fetched from peer", "peer", address, "error", err)
 		return
 	}
-	sh.Catalog.Merge(time.Now(), records, nextOffsets)
+	sh.Catalog.Merge(time.Now(), reply.Records, reply.NextOffsets)
 }
 
 func (sh *Sharer) runFetchRecords(address string, nextOffsets map[ml.TopicName]ml.Offset) {
@@ -292,6 +293,6 @@
 }
 
 // OnRecords implements ml.ShareHandler.
-func (sh *Sharer) OnRecords(after map[ml.TopicName]ml.Offset) []ml.KeyRecord {
+func (sh *Sharer) OnRecords(after map[ml.TopicName]ml.Offset) ml.RecordsReply {
 	return sh.Catalog.RecordsFrom(after)
 }
--- a/internal/duty/sharer/sharer_test.go
+++ b/internal/duty/sharer/sharer_test.go
@@ -81,10 +81,10 @@
 	return err
 }
 
-func (ne *network) Records(_ context.Context, address string, after map[ml.TopicName]ml.Offset) ([]ml.KeyRecord, error) {
+func (ne *network) Records(_ context.Context, address string, after map[ml.TopicName]ml.Offset) (ml.RecordsReply, error) {
 	sh, err := ne.node(address)
 	if err != nil {
-		return nil, err
+		return ml.RecordsReply{}, err
 	}
 	return sh.OnRecords(after), nil
 }
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -58,7 +58,8 @@
 
 	mu              sync.Mutex
 	records         map[ml.TopicName]map[string]ml.KeyRecord
-	nextOffsets     map[ml.TopicName]ml.Offset
+	readOffsets     map[ml.TopicName]ml.Offset // up to which this entry VM has read the store itself
+	heardOffsets    map[ml.TopicName]ml.Offset // up to which other entry VMs have passed on what they know
 	config          *ml.ServingConfig
 	matcher         *matcher.Matcher // of config
 	domainsOut      map[ml.DomainID]bool
@@ -69,17 +70,25 @@
 	reusedAddresses map[ml.EndpointID]ml.Incarnation
 }
 
-// Merge applies records, and the offsets up to which their source has read each
-// topic. Records older than the known ones are ignored.
+// Merge applies records of another entry VM, which has passed on all that it knows before
+// the given offsets. Records older than the known ones are ignored. The store is still read
+// from where this entry VM itself has read it: another one may not have known everything,
+// such as the deletions before it started.
 func (ca *Cataloger) Merge(now time.Time, records []ml.KeyRecord, nextOffsets map[ml.TopicName]ml.Offset) {
-	ca.mergeAll(now, records, nextOffsets, fromPeer)
+	ca.mergeAll(now, records, fromPeer)
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	raise(&ca.heardOffsets, nextOffsets)
 }
 
 // MergeFromStore applies records read from the store itself. The topic has been
 // read up to the offset end. Records that change the catalog are passed to
 // OnStoreRecords.
 func (ca *Cataloger) MergeFromStore(now time.Time, to ml.TopicName, records []ml.KeyRecord, end ml.Offset) {
-	changed := ca.mergeAll(now, records, map[ml.TopicName]ml.Offset{to: end}, fromStore)
+	changed := ca.mergeAll(now, records, fromStore)
+	ca.mu.Lock()
+	raise(&ca.readOffsets, map[ml.TopicName]ml.Offset{to: end})
+	ca.mu.Unlock()
 	if len(changed) > 0 && ca.OnStoreRecords != nil {
 		ca.OnStoreRecords(changed)
 	}
@@ -93,8 +102,18 @@
 	fromPeer  source = "peer"
 )
 
+// raise raises offsets to others that are higher.
+func raise(offsets *map[ml.TopicName]ml.Offset, others map[ml.TopicName]ml.Offset) {
+	if *offsets == nil {
+		*offsets = make(map[ml.TopicName]ml.Offset)
+	}
+	for to, offset := range others {
+		(*offsets)[to] = max((*offsets)[to], offset)
+	}
+}
+
 // mergeAll applies records and returns those that change the catalog.
-func (ca *Cataloger) mergeAll(now time.Time, records []ml.KeyRecord, nextOffsets map[ml.TopicName]ml.Offset, so source) []ml.KeyRecord {
+func (ca *Cataloger) mergeAll(now time.Time, records []ml.KeyRecord, so source) []ml.KeyRecord {
 	ca.mu.Lock()
 	changed := []ml.KeyRecord{}
 	for _, re := range records {
@@ -102,12 +121,6 @@
 			changed = append(changed, re)
 		}
 	}
-	for to, offset := range nextOffsets {
-		if ca.nextOffsets == nil {
-			ca.nextOffsets = make(map[ml.TopicName]ml.Offset)
-		}
-		ca.nextOffsets[to] = max(ca.nextOffsets[to], offset)
-	}
 	ca.mu.Unlock()
 	if len(changed) > 0 && ca.OnChange != nil {
 		ca.OnChange()
@@ -238,27 +251,38 @@
 	return ca.matcher
 }
 
-// NextOffsets returns the offset at which to continue reading each topic.
+// ReadOffset returns the offset at which this entry VM continues to read a topic.
+func (ca *Cataloger) ReadOffset(to ml.TopicName) ml.Offset {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	return ca.readOffsets[to]
+}
+
+// NextOffsets returns, for each topic, the offset up to which this entry VM can tell
+// others what it knows.
 func (ca *Cataloger) NextOffsets() map[ml.TopicName]ml.Offset {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	out := make(map[ml.TopicName]ml.Offset, len(ca.nextOffsets))
-	for to, offset := range ca.nextOffsets {
-		out[to] = offset
-	}
+	return ca.nextOffsets()
+}
+
+func (ca *Cataloger) nextOffsets() map[ml.TopicName]ml.Offset {
+	out := make(map[ml.TopicName]ml.Offset)
+	raise(&out, ca.readOffsets)
+	raise(&out, ca.heardOffsets)
 	return out
 }
 
-// RecordsFrom returns the newest records of all keys that are at or after the
-// given offsets.
-func (ca *Cataloger) RecordsFrom(from map[ml.TopicName]ml.Offset) []ml.KeyRecord {
+// RecordsFrom returns the newest records of all keys that are at or after the given
+// offsets, and the offsets up to which it knows them.
+func (ca *Cataloger) RecordsFrom(from map[ml.TopicName]ml.Offset) ml.RecordsReply {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	out := []ml.KeyRecord{}
+	out := ml.RecordsReply{NextOffsets: ca.nextOffsets()}
 	for to, keys := range ca.records {
 		for _, re := range keys {
 			if re.Offset >= from[to] {
-				out = append(out, re)
+				out.Records = append(out.Records, re)
 			}
 		}
 	}
