fix: a request is carried only by an entry VM with the same configuration

What callers would see: a request that runs at the service of an older route, or 404, at an entry VM that knows better: it handed the request to another one, which judged it by a configuration of its own. That one may have been frozen, restarted or cut off from the store, while the VM to which the caller is connected is well. Found by reading, not seen.

Change: a carried request names the version by which it was accepted. Entry VMs say their version in their messages, and only those with the same one are asked. A 4xx without an endpoint's seal, of an entry VM that carried a request, is no answer: the VM that was asked first had accepted it.

--- a/exchange.go
+++ b/exchange.go
@@ -21,8 +21,9 @@
 	Priority    Priority
 	LastEventID EventID // the stream resumes after this event; 0 to start at the beginning
 	Helpers     []Helper
-	Credentials string // the caller's access key, for other entry VMs only
-	OnSent      func() // called when the whole request has been written; may be nil
+	Credentials string  // the caller's access key, for other entry VMs only
+	Version     Version // of the configuration that accepted the request, for other entry VMs only
+	OnSent      func()  // called when the whole request has been written; may be nil
 }
 
 // Answer is an endpoint's response. The caller must call Close.
@@ -73,7 +74,8 @@
 }
 
 // Carrier hands requests to other entry VMs, which place them like those of their own
-// callers, but hand them no further.
+// callers, but hand them no further. One that has another configuration in force refuses
+// them.
 type Carrier interface {
 	// Carry sends a request to the entry VM at an address, which lets a number of
 	// attempts run at the most, and returns once the answer's header has been received.
@@ -164,6 +166,7 @@
 	KnownAddresses []string              `json:"known,omitempty"`   // addresses of the entry VMs that the sender receives messages from
 	NextOffsets    map[TopicName]Offset  `json:"heads,omitempty"`   // of each topic, next offset that the sender will read
 	Leaving        bool                  `json:"leaving,omitempty"` // the sender is shutting down
+	Version        Version               `json:"version,omitempty"` // of the configuration in force at the sender; earlier releases don't say it
 	Cut            []ServiceName         `json:"cut,omitempty"`     // services to which the sender has lost all paths
 	Domain         DomainID              `json:"domain,omitempty"`
 	Cores          float64               `json:"cores,omitempty"` // CPU cores of the sender
--- a/internal/duty/confirmer/confirmer.go
+++ b/internal/duty/confirmer/confirmer.go
@@ -28,7 +28,7 @@
 	// Read reads what the store has acknowledged, applies it and so raises ConfirmedAt
 	// to the time of the call.
 	Read func(ctx context.Context) error
-	// MaxAge is the age of a confirmation from which on it has to be renewed.
+	// MaxAge is the age from which on a confirmation has to be renewed.
 	MaxAge time.Duration
 
 	reads    singleflight.Group
@@ -39,10 +39,16 @@
 // Confirm reports whether all configurations are in force that were acknowledged MaxAge
 // before now. It asks the store if that isn't known. Concurrent calls share one read.
 func (co *Confirmer) Confirm(ctx context.Context, now time.Time) bool {
-	if co.isConfirmed(now) {
+	return co.ConfirmSince(ctx, now.Add(-co.MaxAge))
+}
+
+// ConfirmSince reports whether all configurations are in force that were acknowledged
+// before a time that has passed.
+func (co *Confirmer) ConfirmSince(ctx context.Context, at time.Time) bool {
+	if co.isConfirmed(at) {
 		return true
 	}
-	if co.hasJustFailed(now) {
+	if co.hasJustFailed(time.Now()) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -52,12 +58,10 @@
 	case <-done:
 	case <-ctx.Done():
 	}
-	return co.isConfirmed(now)
+	return co.isConfirmed(at)
 }
 
-func (co *Confirmer) isConfirmed(now time.Time) bool {
-	return now.Sub(co.ConfirmedAt()) <= co.MaxAge
-}
+func (co *Confirmer) isConfirmed(at time.Time) bool { return !co.ConfirmedAt().Before(at) }
 
 func (co *Confirmer) hasJustFailed(now time.Time) bool {
 	co.mu.Lock()
--- a/internal/duty/forwarder/carry.go
+++ b/internal/duty/forwarder/carry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
@@ -70,6 +71,9 @@
 		return attemptResult{notRun: true, reason: "refused by " + address, err: err}
 	case an.Status/100 == 2 && rq.Route.Kind == ml.RouteStream:
 		return fo.forwardStream(ctx, rq, rs, pl, an, idleWatchdog(), sent)
+	case !an.Sealed && an.Status/100 == 4:
+		// This entry VM has accepted the request, so an endpoint has to say what is wrong with it.
+		return attemptResult{received: true, reason: "status " + strconv.Itoa(an.Status) + " of " + address, err: errEndpointFailure}
 	}
 	return fo.forwardBuffered(rq, rs, an)
 }
--- a/internal/duty/sharer/carrier.go
+++ b/internal/duty/sharer/carrier.go
@@ -11,13 +11,15 @@
 // Carrier returns the address of a member that can take over a request for a service: one
 // of a region from which nothing says that it has lost its paths to the service. Members of
 // the own failure domain come last, since all of it may be cut off. None of those that were
-// tried is returned.
+// tried is returned, and none that has said to have another configuration in force, or
+// nothing of it.
 func (sh *Sharer) Carrier(now time.Time, service ml.ServiceName, tried []string) (string, bool) {
+	version := sh.Catalog.Version()
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	near, far := []string{}, []string{}
 	for _, me := range sh.members {
-		if !me.canRelay(now) || slices.Contains(me.cut, service) || slices.Contains(tried, me.address) || !slices.Contains(sh.Region, me.domain) {
+		if !me.canRelay(now) || slices.Contains(me.cut, service) || slices.Contains(tried, me.address) || !slices.Contains(sh.Region, me.domain) || me.version != version {
 			continue
 		}
 		if me.domain == sh.Domain {
--- a/internal/duty/sharer/member.go
+++ b/internal/duty/sharer/member.go
@@ -57,6 +57,7 @@
 	addedAt        time.Time
 	lastHeard      time.Time // when its newest message arrived
 	leaving        bool
+	version        ml.Version       // of the configuration in force there; 0 if it doesn't say
 	cut            []ml.ServiceName // to which it has lost all paths
 	cores          float64
 	reachable      bool
@@ -98,7 +99,7 @@
 		if me.domain != sm.Domain {
 			sh.membersVersion++
 		}
-		me.lastHeard, me.domain, me.cores, me.leaving, me.cut = now, sm.Domain, sm.Cores, sm.Leaving, sm.Cut
+		me.lastHeard, me.domain, me.cores, me.leaving, me.cut, me.version = now, sm.Domain, sm.Cores, sm.Leaving, sm.Cut, sm.Version
 	}
 }
 
--- a/internal/duty/sharer/sharer.go
+++ b/internal/duty/sharer/sharer.go
@@ -186,7 +186,7 @@
 // withSender adds what identifies this entry VM to a message.
 func (sh *Sharer) withSender(sm ml.ShareMessage) ml.ShareMessage {
 	sm.From, sm.Address, sm.Domain, sm.Cores, sm.Leaving = sh.Self, sh.Address, sh.Domain, sh.Cores, sh.Leaving()
-	sm.Cut = sh.Cut()
+	sm.Cut, sm.Version = sh.Cut(), sh.Catalog.Version()
 	return sm
 }
 
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -244,6 +244,14 @@
 	return ca.config
 }
 
+// Version returns the version of the configuration in force, or 0 before there is one.
+func (ca *Cataloger) Version() ml.Version {
+	if co := ca.Config(); co != nil {
+		return co.Version
+	}
+	return 0
+}
+
 // Matcher returns the index of the configuration in force, or nil before there is one.
 func (ca *Cataloger) Matcher() *matcher.Matcher {
 	ca.mu.Lock()
