fix: only the rest of a stream may follow a stream that has begun

It happens here: after a stream had begun and broken off, the next endpoint's answer with 3xx, 4xx, or a long body of any status went to the caller as a second head and a body, and the stream ended as complete; so did the answer of another entry VM that carried the resumption. A success of another type was written into the stream, and a resumption without length or chunks that ended at once (an engine whose process ends) looked complete.

Cause: after the head was sent, forwardBuffered stopped 5xx alone; everything else was judged like a first answer.

Change: an answer may follow only if it has the status and the media type of the head that the caller has, and only to a stream. Without length or chunks, an end before the next event is a broken one.

--- a/exchange.go
+++ b/exchange.go
@@ -31,6 +31,7 @@
 	Status      int
 	Header      http.Header
 	Length      int64 // of the body in bytes; -1 if unknown
+	Unframed    bool  // the body has neither a length nor chunks, and ends with the connection
 	Body        io.Reader
 	Sealed      bool          // carries the endpoint's response seal
 	NotRun      bool          // the endpoint reports that it did not run the request
--- a/internal/adapter/exchanger/exchanger.go
+++ b/internal/adapter/exchanger/exchanger.go
@@ -100,6 +100,7 @@
 	once := sync.Once{}
 	return &ml.Answer{
 		Status: rs.StatusCode, Header: rs.Header, Length: rs.ContentLength, Body: bo,
+		Unframed: rs.ContentLength < 0 && len(rs.TransferEncoding) == 0,
 		Close: func() {
 			once.Do(func() {
 				if stop() && bo.reachedEnd && !rs.Close && requestWritten(writeDone) {
--- a/internal/duty/forwarder/attempt.go
+++ b/internal/duty/forwarder/attempt.go
@@ -75,6 +75,8 @@
 		return attemptResult{notRun: true, received: true, reason: "another endpoint has the address"}
 	case an.NotRun:
 		return attemptResult{notRun: true, received: true, reason: "the endpoint did not run it, status " + strconv.Itoa(an.Status)}
+	case !rq.continuedBy(an):
+		return fo.notContinued(rq, an)
 	case an.Status/100 == 2 && rq.Route.Kind == ml.RouteStream:
 		return fo.forwardStream(ctx, rq, rs, pl, an, wd, sent)
 	}
@@ -127,8 +129,6 @@
 	fo.recordAnswered(rq, an)
 	br := &bufferedResponse{status: an.Status, header: an.Header, body: body}
 	switch {
-	case an.Status >= http.StatusInternalServerError && rq.headSent:
-		return attemptResult{received: true, reason: "status " + strconv.Itoa(an.Status), err: errEndpointFailure}
 	case impliesNotRun(an.Status):
 		return attemptResult{received: true, reason: "status " + strconv.Itoa(an.Status) + " without a promise", err: errEndpointFailure}
 	case an.Status >= http.StatusInternalServerError:
@@ -137,6 +137,13 @@
 	return attemptResult{done: true, received: true, reason: fo.sendBuffered(rs, br)}
 }
 
+// notContinued returns the result of an attempt to resume a stream that was answered with
+// something else.
+func (fo *Forwarder) notContinued(rq *Request, an *ml.Answer) attemptResult {
+	fo.recordAnswered(rq, an)
+	return attemptResult{received: true, reason: "status " + strconv.Itoa(an.Status) + " to a stream that has begun", err: errEndpointFailure}
+}
+
 // impliesNotRun reports whether a caller may conclude from a status that the
 // request did not run. Such a status is not forwarded from an endpoint that has
 // not declared so explicitly.
@@ -155,7 +162,7 @@
 
 // forwardLong forwards a response that is too long to buffer while it is read.
 func (fo *Forwarder) forwardLong(rq *Request, rs ml.Responder, an *ml.Answer, head []byte) attemptResult {
-	rq.headSent = true
+	rq.recordHead(an)
 	if err := rs.Begin(an.Status, an.Header, an.Length); err != nil {
 		rs.Abort()
 		return attemptResult{done: true, received: true, reason: "caller left", err: err}
--- a/internal/duty/forwarder/carry.go
+++ b/internal/duty/forwarder/carry.go
@@ -69,6 +69,8 @@
 	case an.NotRun:
 		err := &unplaceableError{reason: "refused by another entry VM", retryAfter: max(an.RetryAfter, defaultRetryAfter)}
 		return attemptResult{notRun: true, reason: "refused by " + address, err: err}
+	case !rq.continuedBy(an):
+		return fo.notContinued(rq, an)
 	case an.Status/100 == 2 && rq.Route.Kind == ml.RouteStream:
 		return fo.forwardStream(ctx, rq, rs, pl, an, idleWatchdog(), sent)
 	case !an.Sealed && an.Status/100 == 4:
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -52,6 +52,8 @@
 	sendCount      int        // attempts that reached an endpoint
 	possibleRuns   int        // of these, attempts that may have run
 	headSent       bool       // status and header were sent to the caller
+	headStatus     int        // that status
+	headType       string     // the media type in that header
 	lastEventID    ml.EventID // of the newest event that the caller has
 	eventCount     int
 	firstEventAt   time.Time       // when the first event was forwarded
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
@@ -33,8 +35,8 @@
 var (
 	// errEventTimeout means that an engine sent no event in time.
 	errEventTimeout = errors.New("the engine is silent")
-	// errNoEvent means that a stream ended before its first event. Without a length or
-	// chunks, that is how it looks when the engine's process ends.
+	// errNoEvent means that a stream ended before its first event, or before the next one
+	// without a length or chunks: that is how it looks when the engine's process ends.
 	errNoEvent = errors.New("the stream ended without an event")
 	// errNoProgress means that an engine sent bytes without an event.
 	errNoProgress = errors.New("the engine sends bytes that are no event")
@@ -116,7 +118,7 @@
 		if events == minBegunEvents || events > 0 && errors.Is(err, io.EOF) {
 			fo.recordBegun(time.Now(), rq)
 		}
-		if errors.Is(err, io.EOF) && events == 0 && rq.lastEventID == 0 && rq.eventCount == 0 {
+		if errors.Is(err, io.EOF) && events == 0 && (an.Unframed || rq.lastEventID == 0 && rq.eventCount == 0) {
 			return attemptResult{received: true, reason: "stream broke off: " + errNoEvent.Error(), err: errNoEvent}
 		}
 		if errors.Is(err, io.EOF) {
@@ -233,10 +235,27 @@
 	if err := rs.Begin(an.Status, an.Header, -1); err != nil {
 		return fmt.Errorf("%w: %w", errCallerDisconnected, err)
 	}
-	rq.headSent = true
+	rq.recordHead(an)
 	return nil
 }
 
+// recordHead records that the head of an answer was sent to the caller.
+func (rq *Request) recordHead(an *ml.Answer) {
+	rq.headSent, rq.headStatus, rq.headType = true, an.Status, mediaType(an.Header)
+}
+
+// continuedBy reports whether an answer may be forwarded after what the caller has: it is
+// the first one, or another part of the same stream.
+func (rq *Request) continuedBy(an *ml.Answer) bool {
+	return !rq.headSent || rq.Route.Kind == ml.RouteStream && an.Status == rq.headStatus && mediaType(an.Header) == rq.headType
+}
+
+// mediaType returns the media type of an answer without its parameters.
+func mediaType(he http.Header) string {
+	name, _, _ := strings.Cut(he.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // finishStream ends the response with the bytes after the last event.
 func (fo *Forwarder) finishStream(rq *Request, rs ml.Responder, an *ml.Answer, rest []byte) attemptResult {
 	err := fo.sendHead(rq, rs, an)
