fix: a connection to an endpoint carries no request id twice

Orders took any answer: an engine's late refusal of a request counted as its answer to an order, and the order's own was left on the connection.

Change: a connection remembers the ids that it has carried (hashes, 256 at most, then it is closed), and one that has carried an id isn't used for it again. What has no id counts as one id: a connection carries one order at most, and the answer to an order is the one without the id of a request.

TestEarlierAnswerOnceMore failed before, for a resend and for requests without id.

--- a/internal/adapter/exchanger/conn.go
+++ b/internal/adapter/exchanger/conn.go
@@ -8,11 +8,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -42,6 +45,7 @@
 	readsHead    bool         // Read is limited to headLeft bytes
 	headLeft     int          // bytes that may still be read as heads
 	expiresAt    time.Time    // no request is sent on it after this time
+	carried      []uint64     // hashes of the ids of the requests that it has carried
 }
 
 func newConn(nc net.Conn) *conn {
@@ -50,6 +54,14 @@
 	return co
 }
 
+// recordID records that the connection carries a request with an id.
+func (co *conn) recordID(id string) { co.carried = append(co.carried, xxhash.Sum64String(id)) }
+
+// hasCarried reports whether the connection has carried a request with an id.
+func (co *conn) hasCarried(id string) bool {
+	return slices.Contains(co.carried, xxhash.Sum64String(id))
+}
+
 // errHeadTooLong means that an endpoint sent more than maxHeadBytes without an answer.
 var errHeadTooLong = errors.New("the head of the answer is too long")
 
--- a/internal/adapter/exchanger/exchanger.go
+++ b/internal/adapter/exchanger/exchanger.go
@@ -11,6 +11,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -27,6 +28,8 @@
 	maxWriteWait = 20 * time.Millisecond
 	// maxIdlePerTarget bounds the idle connections to one target.
 	maxIdlePerTarget = 24
+	// maxIDsPerConn bounds the requests of one connection, since it remembers their ids.
+	maxIDsPerConn = 256
 )
 
 // Target is one incarnation of an endpoint. A connection to one target is never
@@ -39,6 +42,7 @@
 
 // Request is a request to a target.
 type Request struct {
+	ID     string // that the answer repeats, which Match compares; empty if it has none
 	Method string
 	URI    string // path and query
 	Host   string
@@ -68,7 +72,7 @@
 	if err != nil {
 		return nil, ex.wrap(ta, true, err)
 	}
-	co, err := ex.acquire(ctx, ta)
+	co, err := ex.acquire(ctx, ta, rq.ID)
 	if err != nil {
 		return nil, ex.wrap(ta, true, err)
 	}
@@ -126,17 +130,23 @@
 	}
 }
 
-// acquire returns an idle connection that is still usable, or a new one.
-func (ex *Exchanger) acquire(ctx context.Context, ta Target) (*conn, error) {
-	for co := ex.popIdle(ta); co != nil; co = ex.popIdle(ta) {
+// acquire returns an idle connection that is still usable, or a new one. An endpoint may
+// write an earlier answer once more, so a connection carries no id twice.
+func (ex *Exchanger) acquire(ctx context.Context, ta Target, id string) (*conn, error) {
+	for co := ex.popIdle(ta, id); co != nil; co = ex.popIdle(ta, id) {
 		if time.Now().Before(co.expiresAt) && co.isIdle() {
 			co.bytesWritten.Store(0)
 			_ = co.SetDeadline(time.Time{})
+			co.recordID(id)
 			return co, nil
 		}
 		ex.discard(co)
 	}
-	return ex.open(ctx, ta)
+	co, err := ex.open(ctx, ta)
+	if err == nil {
+		co.recordID(id)
+	}
+	return co, err
 }
 
 // open opens a connection.
@@ -165,23 +175,26 @@
 	return ml.ConnectOpened
 }
 
-func (ex *Exchanger) popIdle(ta Target) *conn {
+// popIdle returns the idle connection that was used last, of those that have not carried an
+// id, or nil.
+func (ex *Exchanger) popIdle(ta Target, id string) *conn {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	all := ex.idle[ta]
-	if len(all) == 0 {
-		return nil
+	for i := len(all) - 1; i >= 0; i-- {
+		if co := all[i]; !co.hasCarried(id) {
+			ex.idle[ta] = slices.Delete(all, i, i+1)
+			return co
+		}
 	}
-	co := all[len(all)-1]
-	ex.idle[ta] = all[:len(all)-1]
-	return co
+	return nil
 }
 
 // release returns a connection to the pool, to be kept idle for the given time.
 func (ex *Exchanger) release(ta Target, co *conn, keep time.Duration) {
 	co.expiresAt = time.Now().Add(keep)
 	ex.mu.Lock()
-	if keep <= 0 || len(ex.idle[ta]) >= maxIdlePerTarget || co.reader.Buffered() > 0 {
+	if keep <= 0 || len(co.carried) >= maxIDsPerConn || len(ex.idle[ta]) >= maxIdlePerTarget || co.reader.Buffered() > 0 {
 		ex.mu.Unlock()
 		ex.discard(co)
 		return
--- a/internal/adapter/exchanger/exchanger_test.go
+++ b/internal/adapter/exchanger/exchanger_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -68,7 +69,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	an, err := ex.Do(ctx, ta, &exchanger.Request{
-		Method: "POST", URI: uri, Host: "h", Header: http.Header{}, Body: []byte("body"),
+		ID: uri, Method: "POST", URI: uri, Host: "h", Header: http.Header{}, Body: []byte("body"),
 		Match: func(he http.Header) bool { return he.Get("Id") != "other" },
 	})
 	if err != nil {
@@ -248,3 +249,55 @@
 		})
 	}
 }
+
+// exchange sends a request with an id and returns the body of the answer with this id, or
+// without one if it is empty.
+func exchange(ex *exchanger.Exchanger, ta exchanger.Target, id string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	an, err := ex.Do(ctx, ta, &exchanger.Request{
+		ID: id, Method: "POST", URI: "/" + id, Host: "h", Header: http.Header{},
+		Match: func(he http.Header) bool { return he.Get("Id") == id },
+	})
+	if err != nil {
+		return "", err
+	}
+	defer an.Close()
+	body, err := io.ReadAll(an.Body)
+	return string(body), err
+}
+
+// answerWith returns an answer with an id and a body.
+func answerWith(id, body string) string {
+	head := ""
+	if id != "" {
+		head = "Id: " + id + "\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+}
+
+// TestEarlierAnswerOnceMore guards against an earlier answer that a faulty endpoint writes
+// once more on a kept connection, and that is taken for the answer to a later request: the
+// same one sent again, or one whose answers carry no id.
+func TestEarlierAnswerOnceMore(t *testing.T) {
+	for _, id := range []string{"a", ""} {
+		t.Run(id, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			refused := answerWith(id, "refused")
+			pe := newPeer(t, refused, answerWith("b", "done"), refused+answerWith(id, "done"))
+			ex := &exchanger.Exchanger{}
+			body, err := exchange(ex, pe.target(), id)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(body).To(gomega.Equal("refused"))
+			body, err = exchange(ex, pe.target(), "b")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(body).To(gomega.Equal("done"), "on the same connection")
+			_, err = exchange(ex, pe.target(), id)
+			g.Expect(err).NotTo(gomega.HaveOccurred(), "on a new connection, with its first answer")
+			ex.Sweep(time.Now(), func(exchanger.Target) bool { return false })
+			g.Eventually(pe.conns, "5s").Should(gomega.HaveLen(2), "connections")
+			all := [][]string{<-pe.conns, <-pe.conns}
+			g.Expect(all).To(gomega.ConsistOf([]string{"POST /" + id + " ", "POST /b "}, []string{"POST /" + id + " "}))
+		})
+	}
+}
