feat: heed engines that say that they leave, or that they want nothing for a time

The users' news. Server-Leaving in an answer: this incarnation of the engine gets no request any more, whatever the store says of it. That is known before the answer is passed on, is sent to the other entry VMs with the next message and the periodic state, and goes with the answer to a request that another entry VM has carried (Mulberrylever-Departure), since the one that passes it on to the caller is bound too. Retry-After on an engine's 503: this entry VM sends it nothing for so long (decision/pauser); other entry VMs go on. If all endpoints of a service have asked for a pause, a request is refused at once, with the shortest that is left as its Retry-After. Values that can't be read are logged and change nothing.

--- a/exchange.go
+++ b/exchange.go
@@ -33,13 +33,24 @@
 	Length      int64 // of the body in bytes; -1 if unknown
 	Unframed    bool  // the body has neither a length nor chunks, and ends with the connection
 	Body        io.Reader
-	Sealed      bool          // carries the endpoint's response seal
-	NotRun      bool          // the endpoint reports that it did not run the request
-	Misdirected bool          // the address now belongs to another endpoint
-	RetryAfter  time.Duration // of an answer by which another entry VM refuses the request
+	Sealed      bool // carries the endpoint's response seal
+	NotRun      bool // the endpoint reports that it did not run the request
+	Misdirected bool // the address now belongs to another endpoint
 	Limit       RateLimit
 	LimitError  error // the endpoint states a limit that can't be read
-	Close       func()
+	// RetryAfter is the time for which an endpoint that answers 503 wants nothing from this
+	// entry VM, or after which another entry VM that refuses the request may be asked again.
+	RetryAfter      time.Duration
+	RetryAfterError error      // there is one that can't be read
+	Departure       *Departure // the endpoint that answered says that it leaves; nil if it doesn't
+	Close           func()
+}
+
+// Departure is an incarnation of an endpoint that has said that it leaves. It must not get
+// new requests.
+type Departure struct {
+	Endpoint    EndpointID  `json:"e"`
+	Incarnation Incarnation `json:"i,omitempty"`
 }
 
 // RequestRate is a number of requests per second.
@@ -161,6 +172,7 @@
 	Failed         []EndpointID          `json:"failed,omitempty"`  // endpoints that failed a request
 	Records        []KeyRecord           `json:"records,omitempty"` // changed records of the platform's store
 	Limits         []SharedLimit         `json:"limits,omitempty"`  // stated by endpoints
+	Departures     []Departure           `json:"departures,omitempty"`
 	Crashes        []SharedCrash         `json:"crashes,omitempty"`
 	Cleared        []PartID              `json:"cleared,omitempty"` // answers with these parts have begun
 	Blocked        []SharedBlock         `json:"blocked,omitempty"` // parts that crash engines
--- a/internal/duty/forwarder/attempt.go
+++ b/internal/duty/forwarder/attempt.go
@@ -68,6 +68,8 @@
 	defer an.Close()
 	fo.Reacher.RecordContact(time.Now(), rq.Service, pl.lead.ID)
 	fo.recordLimit(time.Now(), pl.lead, an)
+	fo.recordPause(time.Now(), rq, pl.lead, an)
+	fo.recordDeparture(time.Now(), rq, an)
 	out.OnSent() // it may answer before all is written
 	switch {
 	case an.Misdirected:
--- a/internal/duty/forwarder/carry.go
+++ b/internal/duty/forwarder/carry.go
@@ -63,6 +63,7 @@
 		return attemptResult{notRun: er.NotRun, received: !er.NotRun, reason: failureReason(ctx, er), err: err}
 	}
 	defer an.Close()
+	fo.recordDeparture(time.Now(), rq, an)
 	switch {
 	case an.NotRun && fo.mustCarry(time.Now(), rq):
 		return attemptResult{notRun: true, reason: "refused by " + address}
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"github.com/mulberrylever/mulberrylever/internal/decision/budgeter"
 	"github.com/mulberrylever/mulberrylever/internal/decision/detector"
 	"github.com/mulberrylever/mulberrylever/internal/decision/divider"
+	"github.com/mulberrylever/mulberrylever/internal/decision/pauser"
 	"github.com/mulberrylever/mulberrylever/internal/decision/reacher"
 	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
 	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
@@ -76,6 +77,7 @@
 	Detector   *detector.Detector
 	Attributor *attributor.Attributor
 	Reacher    *reacher.Reacher
+	Pauser     pauser.Pauser
 	Log        *slog.Logger
 	Metrics    Meter
 	// Carrier hands requests to other entry VMs. Nil means that there are none.
@@ -203,6 +205,9 @@
 	if !fo.Catalog.IsUsable(time.Now(), pl.lead.ID, pl.lead.Incarnation) {
 		return attemptResult{notRun: true, reason: "left before the send"}
 	}
+	if fo.isPaused(time.Now(), pl.lead) {
+		return attemptResult{notRun: true, reason: "asked for a pause before the send"}
+	}
 	fo.Log.Info("placed", "request", rq.Outgoing.Attempt, "endpoint", pl.lead.ID, "helpers", pl.helperIDs(), "waitedMs", pl.waited.Milliseconds(),
 		"firstMs", pl.predictedFirstEvent.Milliseconds(), "loss", pl.loss, "worth", pl.value, "seen", pl.usable, "prompt", rq.Prompt,
 		"recentSends", pl.recentSends, "cold", pl.cold)
--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -255,6 +255,11 @@
 		candidates = append(candidates, ca)
 	}
 	ch := placer.Choose(now, &it.placerReq, candidates)
+	if it.rq != nil && ch.Refused && ch.Available == 0 {
+		if left := fo.pauseLeft(now, listings); left > 0 {
+			return decision{err: &unplaceableError{reason: errAllPaused.Error(), retryAfter: left}}, true
+		}
+	}
 	switch {
 	case it.rq == nil && ch.Refused:
 		return decision{}, false
@@ -285,7 +290,7 @@
 		FailureRate: fo.Detector.FailureRate(now, li.ID, li.Incarnation),
 		TieBreak:    xxhash.Sum64String(string(fo.Self) + " " + string(li.ID)),
 	}
-	ca.Blocked = fo.Detector.Blocked(now, li.ID, li.Incarnation, len(flights))
+	ca.Blocked = fo.Detector.Blocked(now, li.ID, li.Incarnation, len(flights)) || fo.isPaused(now, li.ListedEndpoint)
 	return ca
 }
 
--- a/internal/duty/forwarder/service.go
+++ b/internal/duty/forwarder/service.go
@@ -23,6 +23,9 @@
 			pl.waited = now.Sub(start)
 			return pl, nil
 		}
+		if left := fo.pauseLeft(now, fo.Catalog.Usable(now, rq.Service)); left > 0 {
+			return nil, &unplaceableError{reason: errAllPaused.Error(), retryAfter: left}
+		}
 		if now.Sub(start) >= rq.Route.Target/noEndpointWaitDivisor {
 			return nil, &unplaceableError{reason: "no endpoint of the service can be used", retryAfter: defaultRetryAfter}
 		}
--- a/internal/duty/sharer/sharer.go
+++ b/internal/duty/sharer/sharer.go
@@ -162,7 +162,7 @@
 		return ml.ShareMessage{}
 	}
 	sm := sh.Tracker.Snapshot(now)
-	sm.Blocked = sh.Attributor.Blocked(now)
+	sm.Blocked, sm.Departures = sh.Attributor.Blocked(now), sh.Catalog.Departures()
 	return sm
 }
 
@@ -260,6 +260,11 @@
 	if cleared := sh.Attributor.ApplyPeerUpdate(now.Add(-time.Duration(sm.AgeMs)*time.Millisecond), sm); len(cleared) > 0 {
 		sh.ShareCleared(cleared)
 	}
+	for _, de := range sm.Departures {
+		if sh.Catalog.RecordDeparture(now, de) {
+			sh.Log.Info("endpoint", "endpoint", de.Endpoint, "incarnation", de.Incarnation, "state", "leaving", "source", "peer", "peer", sm.From)
+		}
+	}
 	for _, id := range sm.Failed {
 		sh.Detector.Record(now, id, "", detector.PeerFailed)
 	}
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -68,6 +68,7 @@
 	readAt          map[ml.TopicName]time.Time // when the store last answered a read of a topic
 	confirmedAt     map[ml.TopicName]time.Time // when the newest read of a topic that was answered was sent
 	reusedAddresses map[ml.EndpointID]ml.Incarnation
+	departures      map[ml.Departure]time.Time // when they became known
 }
 
 // Merge applies records of another entry VM, which has passed on all that it knows before
@@ -184,7 +185,8 @@
 	ca.Log.Info("configuration in force", "version", co.Version, "routes", len(co.Routes), "teams", len(co.Teams), "offset", re.Offset, "source", so)
 }
 
-// PruneRemoved drops endpoints whose records were deleted longer than age ago.
+// PruneRemoved drops endpoints whose records were deleted longer than age ago, and what is
+// known of others that are not listed.
 func (ca *Cataloger) PruneRemoved(now time.Time, age time.Duration) {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
@@ -194,6 +196,11 @@
 			delete(ca.reusedAddresses, id)
 		}
 	}
+	for de, at := range ca.departures {
+		if !ca.isListed(de) && now.Sub(at) > age {
+			delete(ca.departures, de)
+		}
+	}
 }
 
 // RecordRead records that the store has answered a read of a topic that was sent at
--- a/internal/state/cataloger/cataloger_test.go
+++ b/internal/state/cataloger/cataloger_test.go
@@ -133,3 +133,24 @@
 	g.Expect(usable).To(gomega.HaveLen(1))
 	g.Expect(usable[0].ID).To(gomega.Equal(ml.EndpointID("f")))
 }
+
+// TestDeparture checks that an endpoint that has said that it leaves isn't used, whatever its
+// record says, until it starts again, and that this isn't forgotten while it is listed.
+func TestDeparture(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ca := newCataloger()
+	leaves := ml.Departure{Endpoint: "e", Incarnation: "1"}
+	g.Expect(ca.RecordDeparture(start, leaves)).To(gomega.BeTrue(), "before its record is read")
+	ca.Merge(start, []ml.KeyRecord{record("e", "live@d", 1)}, nil)
+	g.Expect(ca.IsUsable(start, "e", "1")).To(gomega.BeFalse())
+	g.Expect(ca.RecordDeparture(start, leaves)).To(gomega.BeFalse(), "it is known")
+	g.Expect(ca.Departures()).To(gomega.Equal([]ml.Departure{leaves}))
+	ca.PruneRemoved(start.Add(time.Hour), time.Minute)
+	ca.Merge(start.Add(time.Hour), []ml.KeyRecord{record("e", "leaving@d", 2), record("e", "live@d", 3)}, nil)
+	g.Expect(ca.IsUsable(start.Add(time.Hour), "e", "1")).To(gomega.BeFalse())
+	ca.RecordDeparture(start, ml.Departure{Endpoint: "e", Incarnation: "0"})
+	g.Expect(ca.IsUsable(start.Add(time.Hour), "e", "1")).To(gomega.BeFalse(), "another incarnation has left too")
+	ca.RecordDeparture(start, ml.Departure{Endpoint: "unknown"})
+	ca.PruneRemoved(start.Add(time.Hour), time.Minute)
+	g.Expect(ca.RecordDeparture(start, ml.Departure{Endpoint: "unknown"})).To(gomega.BeTrue(), "forgotten, since it was never listed")
+}
--- a/internal/state/cataloger/endpoint.go
+++ b/internal/state/cataloger/endpoint.go
@@ -87,6 +87,9 @@
 	if in, reused := ca.reusedAddresses[id]; reused && in == li.Incarnation {
 		return false
 	}
+	if _, leaves := ca.departures[ml.Departure{Endpoint: id, Incarnation: li.Incarnation}]; leaves {
+		return false
+	}
 	if li.RemovedAt.IsZero() {
 		return true
 	}
@@ -94,6 +97,39 @@
 	return afterOutage && now.Sub(li.RemovedAt) < ca.RemovalGrace
 }
 
+// RecordDeparture records that an incarnation of an endpoint has said that it leaves, and
+// reports whether that is new. Unlike a state in the store, that is never taken back.
+func (ca *Cataloger) RecordDeparture(now time.Time, de ml.Departure) bool {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	if _, known := ca.departures[de]; known {
+		return false
+	}
+	if ca.departures == nil {
+		ca.departures = make(map[ml.Departure]time.Time)
+	}
+	ca.departures[de] = now
+	return true
+}
+
+// Departures returns the endpoints that have said that they leave and are still listed.
+func (ca *Cataloger) Departures() []ml.Departure {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	out := []ml.Departure{}
+	for de := range ca.departures {
+		if ca.isListed(de) {
+			out = append(out, de)
+		}
+	}
+	return out
+}
+
+func (ca *Cataloger) isListed(de ml.Departure) bool {
+	li, listed := ca.endpoints[de.Endpoint]
+	return listed && li.Incarnation == de.Incarnation
+}
+
 // CountByState returns the number of endpoints in each state.
 func (ca *Cataloger) CountByState() map[ml.VMState]int {
 	ca.mu.Lock()
--- a/internal/state/tracker/tracker.go
+++ b/internal/state/tracker/tracker.go
@@ -176,6 +176,13 @@
 	tr.unsentChanges.Cleared = append(tr.unsentChanges.Cleared, parts...)
 }
 
+// ShareDeparture adds an endpoint that leaves to the changes for the peers.
+func (tr *Tracker) ShareDeparture(de ml.Departure) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.unsentChanges.Departures = append(tr.unsentChanges.Departures, de)
+}
+
 // TakeChanges returns and clears the changes that have not been sent to the
 // peers. The second result reports whether there were any.
 func (tr *Tracker) TakeChanges() (ml.ShareMessage, bool) {
@@ -183,7 +190,7 @@
 	defer tr.mu.Unlock()
 	sm := tr.unsentChanges
 	tr.unsentChanges = ml.ShareMessage{}
-	return sm, len(sm.Flights)+len(sm.Waiting)+len(sm.Started)+len(sm.Ended)+len(sm.Failed)+len(sm.Crashes)+len(sm.Cleared)+len(sm.Blocked)+len(sm.Limits) > 0
+	return sm, len(sm.Flights)+len(sm.Waiting)+len(sm.Started)+len(sm.Ended)+len(sm.Failed)+len(sm.Crashes)+len(sm.Cleared)+len(sm.Blocked)+len(sm.Limits)+len(sm.Departures) > 0
 }
 
 // Snapshot returns all flights and waiting requests of this entry VM.
