fix: a suspended VM's confirmation is old by the time of day

A VM may be suspended for seconds that the steady clock doesn't count. A confirmation of before looked recent after it, so that a route added meanwhile could get 404. A confirmation must now be recent by both clocks.

TestConfirmAfterSuspension failed before.

--- a/internal/duty/confirmer/confirmer.go
+++ b/internal/duty/confirmer/confirmer.go
@@ -61,7 +61,15 @@
 	return co.isConfirmed(at)
 }
 
-func (co *Confirmer) isConfirmed(at time.Time) bool { return !co.ConfirmedAt().Before(at) }
+// isConfirmed compares by the steady clock, which doesn't count the time for which the VM
+// was suspended, and by the time of day, which may have been set back.
+func (co *Confirmer) isConfirmed(at time.Time) bool {
+	confirmedAt := co.ConfirmedAt()
+	return !confirmedAt.Before(at) && !withoutSteady(confirmedAt).Before(withoutSteady(at))
+}
+
+// withoutSteady returns a time without the reading of the steady clock.
+func withoutSteady(at time.Time) time.Time { return at.Round(0) }
 
 func (co *Confirmer) hasJustFailed(now time.Time) bool {
 	co.mu.Lock()
--- a/internal/duty/confirmer/confirmer_test.go
+++ b/internal/duty/confirmer/confirmer_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"testing/synctest"
 	"time"
+	"unsafe"
 
 	"github.com/onsi/gomega"
 
@@ -92,6 +93,35 @@
 	})
 }
 
+// TestConfirmAfterSuspension guards against a confirmation that is taken to be recent, since
+// the steady clock stood still while the VM was suspended, or the time of day was set back.
+func TestConfirmAfterSuspension(t *testing.T) {
+	confirmedAt := time.Now()
+	for name, now := range map[string]time.Time{
+		"suspended":          setTimeOfDay(confirmedAt, time.Minute),
+		"awake and set back": setTimeOfDay(confirmedAt.Add(time.Minute), -time.Minute),
+	} {
+		st := &store{confirmedAt: confirmedAt, err: errors.New("away")}
+		if st.confirmer().Confirm(t.Context(), now) {
+			t.Errorf("%s: confirmed, %s later by the steady clock", name, now.Sub(confirmedAt))
+		}
+	}
+}
+
+// setTimeOfDay returns a time whose time of day is later than its steady clock says. Package
+// time has no way to make one; this is its layout.
+func setTimeOfDay(at time.Time, later time.Duration) time.Time {
+	type parts struct {
+		wall uint64
+		ext  int64
+		loc  *time.Location
+	}
+	pa := (*parts)(unsafe.Pointer(&at))
+	const nanosecondBits = 30
+	pa.wall += uint64(int64(later/time.Second) << nanosecondBits)
+	return at
+}
+
 // TestConfirmTogether checks that concurrent calls share one read.
 func TestConfirmTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
