--- a/Makefile
+++ b/Makefile
@@ -26,8 +26,9 @@
 demo: build ## starts a fleet of real processes; FLEET=tinjau or guild; PLATFORM=1 uses a stand-in of the users' platform
 	$(if $(PLATFORM),scripts/platform-demo.sh,FLEET=$(FLEET) scripts/demo.sh)
 
-soak: build ## runs load with random failures; SEED=n DURATION=d FLEET=tinjau or guild; PLATFORM=1 uses a stand-in of the users' platform
-	$(if $(PLATFORM),go build -tags soak -o bin/soak/ ./cmd/mulberrylever && PROGRAM=$(CURDIR)/bin/soak/mulberrylever SEED=$(SEED) DURATION=$(DURATION) go test -tags soak ./platform/ -count=1 -timeout 3h -v -run TestSoak,\
+soak: build ## runs load with random failures; SEED=n DURATION=d FLEET=tinjau or guild; PLATFORM=1 uses a stand-in of the users' platform, and with OLD=commit that build beside this one
+	$(if $(OLD),scripts/build-old.sh $(OLD))
+	$(if $(PLATFORM),go build -tags soak -o bin/soak/ ./cmd/mulberrylever && PROGRAM=$(CURDIR)/bin/soak/mulberrylever OLD_PROGRAM=$(if $(OLD),$(CURDIR)/bin/soak/old/mulberrylever) SEED=$(SEED) DURATION=$(DURATION) go test -tags soak ./platform/ -count=1 -timeout 3h -v -run TestSoak,\
 	SEED=$(SEED) DURATION=$(DURATION) FLEET=$(FLEET) go test -tags soak ./internal/proof/prover/ -count=1 -timeout 3h -v -ginkgo.focus "soak keeps every invariant")
 
 bench: build ## compares the routing policies; FLEET=tinjau or guild
