fix: serve says that a model doesn't exist only by a list of VMs that is new

Older than 2 s (four polls) or never read from the platform itself, it is 503 now, and the caller may ask again.

--- a/internal/duty/dispatcher/call.go
+++ b/internal/duty/dispatcher/call.go
@@ -62,7 +62,7 @@
 	di.Routes.WithTable(func(ta *router.Table) { serves = ta.Serves("", service) })
 	if !serves {
 		what := fmt.Sprintf("no endpoint serves %q", service)
-		return ml.ServiceAnswer{}, "", di.notServed(func(ep ml.Endpoint) bool { return ep.Service == service }, what)
+		return ml.ServiceAnswer{}, "", di.notServed(time.Now(), func(ep ml.Endpoint) bool { return ep.Service == service }, what)
 	}
 	he, err := di.placeOne(ctx, rq, router.Request{Service: service, Prompt: serviceCallTokens}, avoid)
 	if err != nil {
--- a/internal/duty/dispatcher/place.go
+++ b/internal/duty/dispatcher/place.go
@@ -22,6 +22,9 @@
 	// maxEstimatedTokens bounds the tokens in that estimate, since answers are
 	// often shorter than their limit.
 	maxEstimatedTokens = 64
+	// maxListAge is the age of the list of VMs up to which a model or a service that is not
+	// in it doesn't exist: several polls.
+	maxListAge = 2 * time.Second
 )
 
 // place chooses an endpoint and gets a grant for it. For a prompt larger than
@@ -33,7 +36,7 @@
 		largest, serves = ta.LargestMemory(rq.Model), ta.Serves(rq.Model, "")
 	})
 	if !serves {
-		return nil, nil, di.notServed(func(ep ml.Endpoint) bool { return ep.Model == rq.Model }, fmt.Sprintf("no engine serves model %q", rq.Model))
+		return nil, nil, di.notServed(time.Now(), func(ep ml.Endpoint) bool { return ep.Model == rq.Model }, fmt.Sprintf("no engine serves model %q", rq.Model))
 	}
 	if memory > largest {
 		return di.placeGroup(ctx, rq, memory)
@@ -45,11 +48,15 @@
 }
 
 // notServed returns the error for a model or service that no endpoint in
-// service serves. It is ErrNotFound if no listed endpoint serves it either.
-func (di *Dispatcher) notServed(serves func(ml.Endpoint) bool, what string) error {
+// service serves. It is ErrNotFound if no listed endpoint serves it either, and the list is
+// not older than maxListAge: a newer one may have such an endpoint.
+func (di *Dispatcher) notServed(now time.Time, serves func(ml.Endpoint) bool, what string) error {
 	er := &ml.Error{Type: ml.ErrNotFound, Step: "route", NotRun: true, Err: errors.New(what)}
-	if slices.ContainsFunc(di.Keeper.VMs().Endpoints, serves) {
+	switch {
+	case slices.ContainsFunc(di.Keeper.VMs().Endpoints, serves):
 		er.Type, er.Err = ml.ErrUnavailable, errors.New(what+" at present")
+	case now.Sub(di.Keeper.VMsConfirmedAt()) > maxListAge:
+		er.Type, er.Err = ml.ErrUnavailable, errors.New(what+" in a list that may be old")
 	}
 	return er
 }
--- a/internal/duty/watcher/watcher.go
+++ b/internal/duty/watcher/watcher.go
@@ -40,14 +40,18 @@
 }
 
 func (wa *Watcher) poll(ctx context.Context) {
+	sentAt := time.Now()
 	vms, changed, err := wa.List.List(ctx)
-	switch {
-	case err != nil:
+	if err != nil {
 		listErrors.Inc()
 		wa.Log.Warn("VM list not read", "error", err)
-	case changed:
+	}
+	if err == nil && changed {
 		wa.Keeper.SetVMs(vms)
 	}
+	if err == nil {
+		wa.Keeper.ConfirmVMs(sentAt)
+	}
 	if !wa.Keeper.Loaded() {
 		wa.fetchFromNeighbours(ctx)
 	}
--- a/internal/state/keeper/keeper.go
+++ b/internal/state/keeper/keeper.go
@@ -29,9 +29,10 @@
 	// this VM, with the time at which the log accepted it. It may be nil.
 	OnChangeApplied func(acceptedAt time.Time)
 
-	mu   sync.Mutex // held by writers
-	view atomic.Pointer[View]
-	vms  atomic.Pointer[vmIndex]
+	mu          sync.Mutex // held by writers
+	view        atomic.Pointer[View]
+	vms         atomic.Pointer[vmIndex]
+	confirmedAt atomic.Pointer[time.Time]
 }
 
 // vmIndex is the list of VMs with its lookup tables. It is immutable.
@@ -105,6 +106,19 @@
 	ke.vms.Store(ix)
 }
 
+// ConfirmVMs records that the platform has answered a request for the list of VMs that was
+// sent at sentAt, and that the list is in force.
+func (ke *Keeper) ConfirmVMs(sentAt time.Time) { ke.confirmedAt.Store(&sentAt) }
+
+// VMsConfirmedAt returns a time at which the list in force was the newest. It is zero if
+// none was read from the platform itself.
+func (ke *Keeper) VMsConfirmedAt() time.Time {
+	if at := ke.confirmedAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // OutOfServiceReason returns why an endpoint gets no new work, or "" if it is
 // in service.
 func (vi *View) OutOfServiceReason(ep ml.Endpoint) (reason string) {
