fix: an entry VM that can't decode the newest configuration refuses nothing for good

While releases run side by side, an older one may not decode what operators write. It kept the configuration in force, and answered 404 for what the new one allows. Such a configuration now counts as not confirmed: 503.

--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -62,6 +62,7 @@
 	heardOffsets    map[ml.TopicName]ml.Offset // up to which other entry VMs have passed on what they know
 	config          *ml.ServingConfig
 	matcher         *matcher.Matcher // of config
+	configUnread    bool             // the newest configuration can't be decoded, and is not in force
 	domainsOut      map[ml.DomainID]bool
 	endpoints       map[ml.EndpointID]Listing
 	storeFailedAt   time.Time                  // when the store last failed to answer
@@ -173,8 +174,9 @@
 }
 
 func (ca *Cataloger) applyConfig(re ml.KeyRecord, co ml.ServingConfig, err error, so source) {
+	ca.configUnread = err != nil
 	if err != nil {
-		ca.Log.Error("cannot decode configuration, keeping the one in force", "offset", re.Offset, "error", err)
+		ca.Log.Error("cannot decode configuration, keeping the one in force", "offset", re.Offset, "source", so, "error", err)
 		return
 	}
 	if ca.config != nil && co.Version <= ca.config.Version {
@@ -217,11 +219,15 @@
 	}
 }
 
-// ConfirmedAt returns a time up to which the catalog has all records of a topic that the
-// store had acknowledged. It is zero before the first read.
-func (ca *Cataloger) ConfirmedAt(to ml.TopicName) time.Time {
+// ConfigConfirmedAt returns a time up to which all configurations that the store had
+// acknowledged in a topic are in force. It is zero before the first read, and while the
+// newest one can't be decoded.
+func (ca *Cataloger) ConfigConfirmedAt(to ml.TopicName) time.Time {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
+	if ca.configUnread {
+		return time.Time{}
+	}
 	return ca.confirmedAt[to]
 }
 
