--- a/internal/adapter/messenger/share_test.go
+++ b/internal/adapter/messenger/share_test.go
@@ -111,7 +111,7 @@
 	nc, err := net.Dial("tcp", address)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	earlier := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(nc, jsonrpc2.VarintObjectCodec{}), earlierRelease{})
-	defer earlier.Close()
+	defer func() { _ = earlier.Close() }()
 	records := []ml.KeyRecord{}
 	g.Expect(earlier.Call(context.Background(), "records", from, &records)).To(gomega.Succeed())
 	g.Expect(records).To(gomega.Equal(sh.OnRecords(from).Records))
