fix: hand requests to entry VMs with another version too, after those with the same

Members' versions are known from their messages, up to half a second old: in a storm of configurations an entry VM without paths would have found nobody to carry its requests. Those with the same version come first, then those that have said another one, which check it anyway; releases that say none are not asked.

--- a/internal/duty/sharer/carrier.go
+++ b/internal/duty/sharer/carrier.go
@@ -9,29 +9,43 @@
 )
 
 // Carrier returns the address of a member that can take over a request for a service: one
-// of a region from which nothing says that it has lost its paths to the service. Members of
-// the own failure domain come last, since all of it may be cut off. None of those that were
-// tried is returned, and none that has said to have another configuration in force, or
-// nothing of it.
+// of a region from which nothing says that it has lost its paths to the service. Members with
+// the same configuration in force come first, then those that have said to have another one,
+// which may have changed since; a member of an earlier release says none and isn't asked.
+// Members of the own failure domain come last, since all of it may be cut off. None of those
+// that were tried is returned.
 func (sh *Sharer) Carrier(now time.Time, service ml.ServiceName, tried []string) (string, bool) {
 	version := sh.Catalog.Version()
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	near, far := []string{}, []string{}
+	best, all := carrierRank{}, []string{}
 	for _, me := range sh.members {
-		if !me.canRelay(now) || slices.Contains(me.cut, service) || slices.Contains(tried, me.address) || !slices.Contains(sh.Region, me.domain) || me.version != version {
+		if !me.canRelay(now) || slices.Contains(me.cut, service) || slices.Contains(tried, me.address) || !slices.Contains(sh.Region, me.domain) {
 			continue
 		}
-		if me.domain == sh.Domain {
-			near = append(near, me.address)
+		if me.version == 0 && version != 0 {
 			continue
 		}
-		far = append(far, me.address)
-	}
-	for _, all := range [][]string{far, near} {
-		if len(all) > 0 {
-			return all[rand.IntN(len(all))], true
+		rank := carrierRank{isOtherVersion: me.version != version, isNear: me.domain == sh.Domain}
+		if len(all) == 0 || rank.precedes(best) {
+			best, all = rank, nil
+		}
+		if rank == best {
+			all = append(all, me.address)
 		}
 	}
-	return "", false
+	if len(all) == 0 {
+		return "", false
+	}
+	return all[rand.IntN(len(all))], true
+}
+
+// carrierRank orders the members that can carry a request. The zero value comes first.
+type carrierRank struct{ isOtherVersion, isNear bool }
+
+func (cr carrierRank) precedes(other carrierRank) bool {
+	if cr.isOtherVersion != other.isOtherVersion {
+		return !cr.isOtherVersion
+	}
+	return !cr.isNear && other.isNear
 }
