fix: hand a request over with the version that is in force now

What the configuration in force doesn't allow any more is refused by the other entry VM, which says that nothing ran, and with 503 to the caller. TestCarriedAfterChange failed before (503 instead of 200).

--- a/exchange.go
+++ b/exchange.go
@@ -21,9 +21,8 @@
 	Priority    Priority
 	LastEventID EventID // the stream resumes after this event; 0 to start at the beginning
 	Helpers     []Helper
-	Credentials string  // the caller's access key, for other entry VMs only
-	Version     Version // of the configuration that accepted the request, for other entry VMs only
-	OnSent      func()  // called when the whole request has been written; may be nil
+	Credentials string // the caller's access key, for other entry VMs only
+	OnSent      func() // called when the whole request has been written; may be nil
 }
 
 // Answer is an endpoint's response. The caller must call Close.
