fix: a peer that has started after a deletion doesn't cover it

In a large fleet most entry VMs read the store each 30 s and hear of changes from others. One that had missed a deletion and fetched from a peer that had started after it (whose listing has no deletions) believed to know everything up to the peer's position: an engine that was gone stayed in use until its own read, up to 30 s. A reply now says from where on its sender knows deletions, and raises what was heard only if that is early enough. TestDeletionUnknownToPeer failed before (offset 7 instead of 5).

--- a/exchange.go
+++ b/exchange.go
@@ -276,6 +276,21 @@
 	// NextOffsets are the offsets up to which it knows them, as of the same moment. Entry
 	// VMs of earlier releases don't say so.
 	NextOffsets map[TopicName]Offset `json:"heads,omitempty"`
+	// ListedFrom are the offsets from which on it knows deletions too. It has listed the keys
+	// that were left by then.
+	ListedFrom map[TopicName]Offset `json:"listed,omitempty"`
+}
+
+// Covered returns the offsets up to which the reply holds all that has changed since some
+// offsets, deletions included.
+func (rr *RecordsReply) Covered(since map[TopicName]Offset) map[TopicName]Offset {
+	out := make(map[TopicName]Offset)
+	for to, offset := range rr.NextOffsets {
+		if listed, known := rr.ListedFrom[to]; known && listed <= since[to] {
+			out[to] = offset
+		}
+	}
+	return out
 }
 
 // ShareAck acknowledges a ShareMessage.
--- a/internal/duty/sharer/sharer.go
+++ b/internal/duty/sharer/sharer.go
@@ -272,7 +272,8 @@
 
 // fetchRecords fetches the records that a member knows and this entry VM doesn't. Only one
 // fetch runs at a time. What the member knew when it sent its offsets may be gone by the
-// time it replies, since its process may have been replaced: only the reply counts.
+// time it replies, since its process may have been replaced, and one that has started later
+// doesn't know what was deleted before: only what the reply covers counts.
 func (sh *Sharer) fetchRecords(ctx context.Context, address string, nextOffsets map[ml.TopicName]ml.Offset) {
 	own := sh.Catalog.NextOffsets()
 	behind := false
@@ -290,7 +291,7 @@
 		sh.Log.Warn("store records not fetched from peer", "peer", address, "error", err)
 		return
 	}
-	sh.Catalog.Merge(time.Now(), reply.Records, reply.NextOffsets)
+	sh.Catalog.Merge(time.Now(), reply.Records, reply.Covered(own))
 }
 
 func (sh *Sharer) runFetchRecords(address string, nextOffsets map[ml.TopicName]ml.Offset) {
--- a/internal/duty/sharer/sharer_test.go
+++ b/internal/duty/sharer/sharer_test.go
@@ -284,3 +284,43 @@
 	}
 	g.Consistently(sum, "4s", "20ms").Should(gomega.BeNumerically("<=", limit), "also when the new ones use their shares")
 }
+
+// TestDeletionUnknownToPeer guards against a deletion that an entry VM never hears of, since
+// it asked one that had started after it, and then believes to know everything.
+func TestDeletionUnknownToPeer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const topic = ml.TopicName("t")
+	now := time.Now()
+	fl := &fleet{ne: &network{nodes: map[string]*sharer.Sharer{}, killed: map[string]bool{}}}
+	for i := range 3 {
+		fl.create(i)
+	}
+	before := []ml.KeyRecord{{Topic: topic, Key: "gone", Value: []byte("x"), Offset: 4}}
+	late, started, old := fl.nodes[0], fl.nodes[1], fl.nodes[2]
+	for _, sh := range []*sharer.Sharer{late, old} {
+		sh.Catalog.MergeFromStore(now, topic, before, 5)
+		sh.Catalog.DeleteUnlisted(now, topic, map[string]bool{"gone": true}, 5)
+	}
+	old.Catalog.MergeFromStore(now, topic, []ml.KeyRecord{{Topic: topic, Key: "gone", Offset: 5}}, 7)
+	started.Catalog.MergeFromStore(now, topic, nil, 7) // has listed what was left
+	started.Catalog.DeleteUnlisted(now, topic, map[string]bool{}, 7)
+	digest := func(from *sharer.Sharer) {
+		late.OnShare(ml.ShareMessage{From: from.Self, Address: from.Address, KnownAddresses: []string{from.Address}, NextOffsets: from.Catalog.NextOffsets()})
+	}
+	deleted := func() bool {
+		for _, re := range late.Catalog.RecordsFrom(nil).Records {
+			if re.Key == "gone" && re.Value == nil {
+				return true
+			}
+		}
+		return false
+	}
+	digest(started)
+	g.Consistently(deleted, "200ms", "10ms").Should(gomega.BeFalse())
+	g.Expect(late.Catalog.NextOffsets()[topic]).To(gomega.Equal(ml.Offset(5)), "it doesn't know everything before 7")
+	g.Eventually(func() bool {
+		digest(old)
+		return deleted()
+	}, "5s", "20ms").Should(gomega.BeTrue())
+	g.Expect(late.Catalog.NextOffsets()[topic]).To(gomega.Equal(ml.Offset(7)))
+}
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -6,6 +6,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -59,6 +60,7 @@
 	mu              sync.Mutex
 	records         map[ml.TopicName]map[string]ml.KeyRecord
 	readOffsets     map[ml.TopicName]ml.Offset // up to which this entry VM has read the store itself
+	listedFrom      map[ml.TopicName]ml.Offset // end of each topic when its keys were listed last
 	heardOffsets    map[ml.TopicName]ml.Offset // up to which other entry VMs have passed on what they know
 	config          *ml.ServingConfig
 	matcher         *matcher.Matcher // of config
@@ -299,7 +301,7 @@
 func (ca *Cataloger) RecordsFrom(from map[ml.TopicName]ml.Offset) ml.RecordsReply {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	out := ml.RecordsReply{NextOffsets: ca.nextOffsets()}
+	out := ml.RecordsReply{NextOffsets: ca.nextOffsets(), ListedFrom: maps.Clone(ca.listedFrom)}
 	for to, keys := range ca.records {
 		for _, re := range keys {
 			if re.Offset >= from[to] {
@@ -314,6 +316,7 @@
 // a topic. Keys with records at or after the listing's end stay.
 func (ca *Cataloger) DeleteUnlisted(now time.Time, to ml.TopicName, listed map[string]bool, end ml.Offset) {
 	ca.mu.Lock()
+	raise(&ca.listedFrom, map[ml.TopicName]ml.Offset{to: end})
 	deletions := []ml.KeyRecord{}
 	for key, re := range ca.records[to] {
 		if !listed[key] && re.Value != nil && re.Offset < end {
