--- a/exchange.go
+++ b/exchange.go
@@ -166,22 +166,33 @@
 	Full           bool                  `json:"whole,omitempty"` // replaces all that was received from the sender before
 	Flights        []SharedFlight        `json:"flights,omitempty"`
 	Waiting        []SharedQueuedRequest `json:"waiting,omitempty"`
-	Started        []FlightID            `json:"began,omitempty"`   // flights whose first event was received
-	Ended          []FlightID            `json:"ended,omitempty"`   // finished flights, and requests that left the queue
-	Failed         []EndpointID          `json:"failed,omitempty"`  // endpoints that failed a request
-	Records        []KeyRecord           `json:"records,omitempty"` // changed records of the platform's store
-	Limits         []SharedLimit         `json:"limits,omitempty"`  // stated by endpoints
+	Started        []FlightID            `json:"began,omitempty"`      // flights whose first event was received
+	Ended          []FlightID            `json:"ended,omitempty"`      // finished flights, and requests that left the queue
+	Withdrawn      []FlightID            `json:"withdrawn,omitempty"`  // requests that the receiver, as the scheduler, is no longer asked to place
+	Failed         []EndpointID          `json:"failed,omitempty"`     // endpoints that failed a request
+	FailedRuns     []EndpointID          `json:"failedRuns,omitempty"` // of a scheduler, those that failed one that they had received
+	Records        []KeyRecord           `json:"records,omitempty"`    // changed records of the platform's store
+	Limits         []SharedLimit         `json:"limits,omitempty"`     // stated by endpoints
 	Departures     []Departure           `json:"departures,omitempty"`
 	Crashes        []SharedCrash         `json:"crashes,omitempty"`
 	Cleared        []PartID              `json:"cleared,omitempty"` // answers with these parts have begun
 	Blocked        []SharedBlock         `json:"blocked,omitempty"` // parts that crash engines
 	KnownAddresses []string              `json:"known,omitempty"`   // addresses of the entry VMs that the sender receives messages from
-	NextOffsets    map[TopicName]Offset  `json:"heads,omitempty"`   // of each topic, next offset that the sender will read
-	Leaving        bool                  `json:"leaving,omitempty"` // the sender is shutting down
-	Version        Version               `json:"version,omitempty"` // of the configuration in force at the sender; earlier releases don't say it
-	Cut            []ServiceName         `json:"cut,omitempty"`     // services to which the sender has lost all paths
-	Domain         DomainID              `json:"domain,omitempty"`
-	Cores          float64               `json:"cores,omitempty"` // CPU cores of the sender
+	// NextOffsets holds, of each topic, the next offset that the sender will read. Only earlier
+	// releases send it.
+	NextOffsets map[TopicName]Offset        `json:"heads,omitempty"`
+	Digests     map[TopicName]CatalogDigest `json:"digests,omitempty"` // of what the sender knows of each topic
+	Leaving     bool                        `json:"leaving,omitempty"` // the sender is shutting down
+	Version     Version                     `json:"version,omitempty"` // of the configuration in force at the sender; earlier releases don't say it
+	Cut         []ServiceName               `json:"cut,omitempty"`     // services to which the sender has lost all paths
+	Domain      DomainID                    `json:"domain,omitempty"`
+	Cores       float64                     `json:"cores,omitempty"` // CPU cores of the sender
+	// Schedules means that the sender places requests of other entry VMs when it is asked.
+	Schedules bool `json:"schedules,omitempty"`
+	// Scheduled means that the sender reports its requests to a scheduler alone, and that
+	// this message says nothing of them.
+	Scheduled  bool  `json:"scheduled,omitempty"`
+	IntervalMs int64 `json:"interval,omitempty"` // the longest time until the sender's next message; earlier releases don't say it
 	// Relay asks the receiver to relay this message to all other entry VMs, or,
 	// if Relayed is set, those messages to the entry VMs of its own domain.
 	Relay   bool           `json:"passOn,omitempty"`
@@ -270,6 +281,10 @@
 	Records(ctx context.Context, address string, from map[TopicName]Offset) (RecordsReply, error)
 }
 
+// CatalogDigest is a digest of what an entry VM knows of a topic. It is 0 for a topic without
+// keys.
+type CatalogDigest uint64
+
 // RecordsReply holds the records that an entry VM knows from some offsets on.
 type RecordsReply struct {
 	Records []KeyRecord `json:"records"`
@@ -295,8 +310,11 @@
 
 // ShareAck acknowledges a ShareMessage.
 type ShareAck struct {
-	NextOffsets    map[TopicName]Offset `json:"heads,omitempty"` // of each topic, next offset that the receiver will read
-	KnownAddresses []string             `json:"known,omitempty"` // as in ShareMessage; only if the message carried some
+	// NextOffsets holds, of each topic, the next offset that the receiver will read. It is there
+	// for earlier releases.
+	NextOffsets    map[TopicName]Offset        `json:"heads,omitempty"`
+	Digests        map[TopicName]CatalogDigest `json:"digests,omitempty"` // of what the receiver knows of each topic
+	KnownAddresses []string                    `json:"known,omitempty"`   // as in ShareMessage; only if the message carried some
 }
 
 // ShareHandler handles messages and requests of SharePeers.
@@ -304,3 +322,19 @@
 	OnShare(sm ShareMessage) ShareAck
 	OnRecords(from map[TopicName]Offset) RecordsReply
 }
+
+// Confirmation is what an entry VM that reads the store says of a topic.
+type Confirmation struct {
+	Digest CatalogDigest `json:"digest"` // of all that the store had acknowledged AgeMs ago, or of more
+	AgeMs  int64         `json:"ageMs"`
+}
+
+// ConfirmPeers asks an entry VM that reads the store how new its knowledge of a topic is.
+type ConfirmPeers interface {
+	Confirm(ctx context.Context, address string, to TopicName) (Confirmation, error)
+}
+
+// ConfirmHandler handles requests of ConfirmPeers.
+type ConfirmHandler interface {
+	OnConfirm(ctx context.Context, to TopicName) (Confirmation, error)
+}
--- a/internal/adapter/messenger/messenger.go
+++ b/internal/adapter/messenger/messenger.go
@@ -12,6 +12,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -31,6 +32,8 @@
 	// methodBareRecords is methodRecords in entry VMs of earlier releases. Its result is
 	// the records alone.
 	methodBareRecords = "records"
+	methodSchedule    = "schedule"
+	methodConfirm     = "confirm"
 )
 
 const dialTimeout = time.Second
@@ -104,6 +107,24 @@
 	return out, err
 }
 
+// Schedule implements ml.SchedulerPeers.
+func (me *Messenger) Schedule(ctx context.Context, address string, rq ml.SharedPlacementRequest) (ml.SharedPlacement, error) {
+	sp := ml.SharedPlacement{}
+	body, err := json.Marshal(rq)
+	if err != nil {
+		return sp, wrap(methodSchedule, address, err)
+	}
+	err = me.call(ctx, address, methodSchedule, shareParams{body}, &sp)
+	return sp, err
+}
+
+// Confirm implements ml.ConfirmPeers.
+func (me *Messenger) Confirm(ctx context.Context, address string, to ml.TopicName) (ml.Confirmation, error) {
+	out := ml.Confirmation{}
+	err := me.call(ctx, address, methodConfirm, to, &out)
+	return out, err
+}
+
 // Close closes all connections.
 func (me *Messenger) Close() {
 	me.mu.Lock()
@@ -121,8 +142,8 @@
 		return wrap(method, address, err)
 	}
 	err = conn.Call(ctx, method, in, out)
-	if errors.Is(err, jsonrpc2.ErrClosed) || errors.Is(err, context.DeadlineExceeded) && me.DropOnTimeout {
-		me.drop(address, conn)
+	if errors.Is(err, jsonrpc2.ErrClosed) || errors.Is(err, context.DeadlineExceeded) && me.DropOnTimeout && method != methodSchedule {
+		me.drop(address, conn) // a call to a scheduler has a short time-out
 	}
 	if err != nil {
 		return wrap(method, address, err)
@@ -227,9 +248,21 @@
 type Server struct {
 	PeerHandler  ml.PeerHandler  // nil to serve only the sharing methods
 	ShareHandler ml.ShareHandler // nil to serve no sharing methods
-	Log          *slog.Logger    // gets the messages of the JSON-RPC library; may be nil
+	// ScheduleHandler places requests of other entry VMs; nil to place none.
+	ScheduleHandler ml.ScheduleHandler
+	// ConfirmHandler tells others how new what is known of the store is; nil to tell nothing.
+	ConfirmHandler ml.ConfirmHandler
+	Log            *slog.Logger // gets the messages of the JSON-RPC library; may be nil
+
+	recordsReplies atomic.Int64 // under way
 }
 
+// maxRecordsReplies bounds the replies with records that are sent at the same time. When many
+// entry VMs start at once, more would fill the link of this one; the store has a faster one.
+const maxRecordsReplies = 4
+
+var errBusy = &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "too many replies with records under way"}
+
 // Serve accepts connections until the listener is closed.
 func (se *Server) Serve(li net.Listener) error {
 	for {
@@ -237,23 +270,27 @@
 		if err != nil {
 			return fmt.Errorf("accept peer connection: %w", err)
 		}
-		jsonrpc2.NewConn(context.Background(), newObjectStream(nc), &session{peerHandler: se.PeerHandler, shareHandler: se.ShareHandler}, jsonrpc2.SetLogger(libraryLogger{se.Log}))
+		jsonrpc2.NewConn(context.Background(), newObjectStream(nc), &session{se}, jsonrpc2.SetLogger(libraryLogger{se.Log}))
 	}
 }
 
 // session handles the requests of one connection, in the order in which they
-// arrive. Only reservations run concurrently, since they may wait for a grant.
-type session struct {
-	peerHandler  ml.PeerHandler
-	shareHandler ml.ShareHandler
-}
+// arrive. Only those that may wait for a decision run concurrently.
+type session struct{ *Server }
 
 // Handle implements jsonrpc2.Handler.
 func (ss *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
 	switch {
-	case ss.shareHandler != nil && (rq.Method == methodShare || rq.Method == methodRecords || rq.Method == methodBareRecords):
+	case ss.ShareHandler != nil && (rq.Method == methodShare || rq.Method == methodRecords || rq.Method == methodBareRecords):
 		ss.handleSharing(ctx, conn, rq)
-	case ss.peerHandler != nil:
+	case ss.ScheduleHandler != nil && rq.Method == methodSchedule:
+		ss.handleSchedule(ctx, conn, rq)
+	case ss.ConfirmHandler != nil && rq.Method == methodConfirm:
+		to := ml.TopicName("")
+		if decodeParams(ctx, conn, rq, &to) {
+			go ss.runConfirm(ctx, conn, rq.ID, to)
+		}
+	case ss.PeerHandler != nil:
 		ss.handlePeer(ctx, conn, rq)
 	default:
 		_ = conn.ReplyWithError(ctx, rq.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: rq.Method})
@@ -264,19 +301,29 @@
 	switch rq.Method {
 	case methodShare:
 		ss.handleShare(ctx, conn, rq)
-	case methodRecords:
-		after := map[ml.TopicName]ml.Offset{}
-		if decodeParams(ctx, conn, rq, &after) {
-			_ = conn.Reply(ctx, rq.ID, ss.shareHandler.OnRecords(after))
-		}
-	case methodBareRecords:
-		after := map[ml.TopicName]ml.Offset{}
-		if decodeParams(ctx, conn, rq, &after) {
-			_ = conn.Reply(ctx, rq.ID, append([]ml.KeyRecord{}, ss.shareHandler.OnRecords(after).Records...))
-		}
+	case methodRecords, methodBareRecords:
+		ss.handleRecords(ctx, conn, rq)
 	}
 }
 
+func (ss *session) handleRecords(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
+	after := map[ml.TopicName]ml.Offset{}
+	if !decodeParams(ctx, conn, rq, &after) {
+		return
+	}
+	defer ss.recordsReplies.Add(-1)
+	if ss.recordsReplies.Add(1) > maxRecordsReplies {
+		_ = conn.ReplyWithError(ctx, rq.ID, errBusy)
+		return
+	}
+	reply := ss.ShareHandler.OnRecords(after)
+	if rq.Method == methodBareRecords {
+		_ = conn.Reply(ctx, rq.ID, append([]ml.KeyRecord{}, reply.Records...))
+		return
+	}
+	_ = conn.Reply(ctx, rq.ID, reply)
+}
+
 func (ss *session) handleShare(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
 	sp := shareParams{}
 	if !decodeParams(ctx, conn, rq, &sp) {
@@ -287,17 +334,44 @@
 		_ = conn.ReplyWithError(ctx, rq.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()})
 		return
 	}
-	if ack := ss.shareHandler.OnShare(sh); !rq.Notif {
+	if ack := ss.ShareHandler.OnShare(sh); !rq.Notif {
 		_ = conn.Reply(ctx, rq.ID, ack)
 	}
 }
 
+func (ss *session) handleSchedule(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
+	sp, pr := shareParams{}, ml.SharedPlacementRequest{}
+	if !decodeParams(ctx, conn, rq, &sp) {
+		return
+	}
+	if err := json.Unmarshal(sp.Shared, &pr); err != nil {
+		_ = conn.ReplyWithError(ctx, rq.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()})
+		return
+	}
+	go ss.runSchedule(ctx, conn, rq.ID, pr)
+}
+
+// runSchedule waits for the decision on a request and sends it.
+func (ss *session) runSchedule(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, pr ml.SharedPlacementRequest) {
+	_ = conn.Reply(ctx, id, ss.ScheduleHandler.OnSchedule(ctx, pr))
+}
+
+// runConfirm waits for the confirmation of a topic and sends it.
+func (ss *session) runConfirm(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, to ml.TopicName) {
+	out, err := ss.ConfirmHandler.OnConfirm(ctx, to)
+	if err != nil {
+		_ = conn.ReplyWithError(ctx, id, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()})
+		return
+	}
+	_ = conn.Reply(ctx, id, out)
+}
+
 func (ss *session) handlePeer(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
 	switch rq.Method {
 	case methodHeartbeat:
 		hb := ml.Heartbeat{}
 		if decodeParams(ctx, conn, rq, &hb) {
-			_ = conn.Reply(ctx, rq.ID, ss.peerHandler.OnHeartbeat(hb))
+			_ = conn.Reply(ctx, rq.ID, ss.PeerHandler.OnHeartbeat(hb))
 		}
 	case methodReserve:
 		re := ml.Reservation{}
@@ -307,7 +381,7 @@
 	case methodGrantEvents:
 		events := []ml.GrantEvent{}
 		if decodeParams(ctx, conn, rq, &events) {
-			ss.peerHandler.OnGrantEvents(events)
+			ss.PeerHandler.OnGrantEvents(events)
 		}
 	case methodState:
 		ss.handleState(ctx, conn, rq.ID)
@@ -328,11 +402,11 @@
 		case <-ctx.Done():
 		}
 	}()
-	_ = conn.Reply(ctx, id, ss.peerHandler.OnReserve(ctx, re))
+	_ = conn.Reply(ctx, id, ss.PeerHandler.OnReserve(ctx, re))
 }
 
 func (ss *session) handleState(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID) {
-	ns, err := ss.peerHandler.OnState()
+	ns, err := ss.PeerHandler.OnState()
 	if err != nil {
 		_ = conn.ReplyWithError(ctx, id, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()})
 		return
--- a/internal/adapter/messenger/share_test.go
+++ b/internal/adapter/messenger/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 
@@ -75,6 +76,106 @@
 	g.Expect(err).To(gomega.HaveOccurred())
 }
 
+// scheduleHandler replies with what it was asked.
+type scheduleHandler struct{ release chan struct{} }
+
+func (sc scheduleHandler) OnSchedule(_ context.Context, rq ml.SharedPlacementRequest) ml.SharedPlacement {
+	if rq.ReplyWithinMs > 0 {
+		<-sc.release
+	}
+	return ml.SharedPlacement{Endpoints: []ml.EndpointRef{{ID: rq.Excluded[0], Incarnation: "1"}}, HelperMemory: rq.Prompt, Loss: rq.Value}
+}
+
+// confirmHandler confirms one topic.
+type confirmHandler struct{}
+
+func (confirmHandler) OnConfirm(_ context.Context, to ml.TopicName) (ml.Confirmation, error) {
+	if to != "t" {
+		return ml.Confirmation{}, errors.New("another topic")
+	}
+	return ml.Confirmation{Digest: 1<<63 + 1, AgeMs: 5}, nil
+}
+
+// TestSchedule checks that requests to a scheduler arrive unchanged, that one that waits for a
+// decision does not hold up others on the same connection, and that an entry VM that does not
+// schedule says so.
+func TestSchedule(t *testing.T) {
+	g := gomega.NewWithT(t)
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = li.Close() })
+	handler := scheduleHandler{make(chan struct{})}
+	go func() {
+		_ = (&messenger.Server{ScheduleHandler: handler, ConfirmHandler: confirmHandler{}}).Serve(li)
+	}()
+	me := &messenger.Messenger{}
+	defer me.Close()
+	ctx := context.Background()
+	rq := ml.SharedPlacementRequest{SharedQueuedRequest: ml.SharedQueuedRequest{ID: "vm-1", Service: "s", Prompt: 700_000, Value: 88.5}, From: "vm", Excluded: []ml.EndpointID{"e"}}
+	slow := rq
+	slow.ReplyWithinMs = 250
+	replied := make(chan error, 1)
+	go func() {
+		_, err := me.Schedule(ctx, li.Addr().String(), slow)
+		replied <- err
+	}()
+	sp, err := me.Schedule(ctx, li.Addr().String(), rq)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(sp).To(gomega.Equal(ml.SharedPlacement{Endpoints: []ml.EndpointRef{{ID: "e", Incarnation: "1"}}, HelperMemory: 700_000, Loss: 88.5}))
+	g.Expect(replied).NotTo(gomega.Receive())
+	close(handler.release)
+	g.Eventually(replied).Should(gomega.Receive(gomega.BeNil()))
+
+	co, err := me.Confirm(ctx, li.Addr().String(), "t")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(co).To(gomega.Equal(ml.Confirmation{Digest: 1<<63 + 1, AgeMs: 5}))
+	_, err = me.Confirm(ctx, li.Addr().String(), "other")
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("another topic")))
+
+	address, _ := serve(t)
+	_, err = me.Schedule(ctx, address, rq)
+	g.Expect(err).To(gomega.HaveOccurred())
+}
+
+// slowRecords takes its time to reply.
+type slowRecords struct {
+	shareHandler
+	release chan struct{}
+}
+
+func (sr slowRecords) OnRecords(after map[ml.TopicName]ml.Offset) ml.RecordsReply {
+	<-sr.release
+	return sr.shareHandler.OnRecords(after)
+}
+
+// TestRecordsForMany guards against an entry VM that is held up by many others which have
+// started at once and want its records: it sends them to a few, and the others an error.
+func TestRecordsForMany(t *testing.T) {
+	g := gomega.NewWithT(t)
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = li.Close() })
+	handler := slowRecords{shareHandler{make(chan ml.ShareMessage, 1)}, make(chan struct{})}
+	go func() { _ = (&messenger.Server{ShareHandler: handler}).Serve(li) }()
+	const callers, served = 20, 4
+	results := make(chan error, callers)
+	for range callers {
+		me := &messenger.Messenger{}
+		t.Cleanup(me.Close)
+		go func() {
+			_, err := me.Records(context.Background(), li.Addr().String(), nil)
+			results <- err
+		}()
+	}
+	for range callers - served {
+		g.Eventually(results).Should(gomega.Receive(gomega.HaveOccurred()))
+	}
+	close(handler.release)
+	for range served {
+		g.Eventually(results).Should(gomega.Receive(gomega.BeNil()))
+	}
+}
+
 // earlierRelease handles requests like an entry VM of an earlier release.
 type earlierRelease struct{}
 
--- a/internal/decision/detector/detector.go
+++ b/internal/decision/detector/detector.go
@@ -99,6 +99,13 @@
 	return hi.failureRate() >= trialFailureRate && (running > 0 || now.Sub(hi.lastSentAt) < minBlockTime)
 }
 
+// Unreachable reports whether no connection to an endpoint could be opened a short time ago.
+func (de *Detector) Unreachable(now time.Time, id ml.EndpointID, in ml.Incarnation) bool {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+	return now.Before(de.history(now, id, in).blockedUntil)
+}
+
 // RecordSend records that a request is sent to an endpoint.
 func (de *Detector) RecordSend(now time.Time, id ml.EndpointID, in ml.Incarnation) {
 	de.mu.Lock()
--- a/internal/decision/placer/group.go
+++ b/internal/decision/placer/group.go
@@ -106,7 +106,7 @@
 	if lead < 0 {
 		return
 	}
-	firstEvent := prefillDone(group, start, part).Add(ch.firstPass(&group[lead].st.engine))
+	firstEvent := prefillDone(group, start, part).Add(ch.firstPass(group[lead].st.engine))
 	loss := ch.ownLoss(firstEvent) + ch.waitLoss(start) + extraEngineCost*float64(len(group)-1) + ch.engineSecondCost*part.Seconds()*float64(len(group))
 	for _, me := range group {
 		loss += memberLoss(me)
--- a/internal/decision/placer/loss.go
+++ b/internal/decision/placer/loss.go
@@ -12,13 +12,13 @@
 func (ch *chooser) member(st *state, part time.Duration, parts int) member {
 	me := member{st: st, startAt: st.engine.PrefillDoneAt}
 	if !st.hasSlot && !st.Blocked {
-		me.startAt = later(me.startAt, firstSlotFree(&st.engine))
+		me.startAt = later(me.startAt, firstSlotFree(st.engine))
 	}
 	base := ch.rq.Value * failureLossShare * st.FailureRate
 	if st.Endpoint.Domain != ch.rq.Domain {
 		base += crossDomainCost
 	}
-	base += occupancyCost * ch.addedOccupancy(&st.engine) / float64(parts) / (1 + ch.rq.UnseenRequests/unseenHalvingCount) // only one member decodes
+	base += occupancyCost * ch.addedOccupancy(st.engine) / float64(parts) / (1 + ch.rq.UnseenRequests/unseenHalvingCount) // only one member decodes
 	me.lossNow = base + ch.gapLoss(st, part, parts, &me.startAt) + ch.delayLoss(st, part, parts)
 	me.lossLater = base
 	return me
@@ -68,7 +68,7 @@
 // longer because a part is prefilled at the same time. It moves startAt back to
 // the end of these answers.
 func (ch *chooser) gapLoss(st *state, part time.Duration, parts int, startAt *time.Time) float64 {
-	es := &st.engine
+	es := st.engine
 	pass := forecaster.PassTime(ch.rq.Profile, max(len(es.Decoding), 1), es.Context)
 	maxPrefill := forecaster.MaxPrefillPerPass(ch.rq.Profile, ch.rq.Prompt, forecaster.PrefillTime(ch.rq.Profile, ch.rq.Prompt, 1))
 	without := pass + min(es.Backlog(ch.now), maxPrefill)
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -81,6 +81,9 @@
 	// UnseenRequests is the estimated number of prompts that other entry VMs have
 	// placed and that this entry VM has not been informed of yet.
 	UnseenRequests float64
+	// IsExact means that the candidates' flights are all that there are, and that nobody else
+	// sends them more at the same moment.
+	IsExact bool
 }
 
 // LatestStart returns the latest time at which an engine that is busy with other
@@ -103,6 +106,9 @@
 	FailureRate float64 // expected share of failing requests
 	Blocked     bool    // must not get requests now, for example because of its rate limit while cold
 	TieBreak    uint64  // the highest wins among engines that tie; differs between entry VMs
+	// State is the state of the engine that is predicted from Flights. If it is nil, Choose
+	// predicts it; a caller that decides on several requests does so once.
+	State *forecaster.EngineState
 }
 
 // Choice is the result of a decision.
@@ -122,7 +128,7 @@
 type state struct {
 	Candidate
 	index   int
-	engine  forecaster.EngineState
+	engine  *forecaster.EngineState
 	hasSlot bool
 }
 
@@ -156,9 +162,17 @@
 }
 
 func (ch *chooser) predict(candidates []Candidate) {
-	for i, ca := range candidates {
-		st := state{Candidate: ca, index: i, engine: forecaster.Predict(ch.now, ca.Flights)}
-		st.hasSlot = !ca.Blocked && st.engine.UsedSlots() < max(ch.rq.Profile.Slots-spareSlots, 1)
+	spare := spareSlots
+	if ch.rq.IsExact {
+		spare = 0
+	}
+	for i := range candidates {
+		st := state{Candidate: candidates[i], index: i, engine: candidates[i].State}
+		if st.engine == nil {
+			es := forecaster.Predict(ch.now, st.Flights)
+			st.engine = &es
+		}
+		st.hasSlot = !st.Blocked && st.engine.UsedSlots() < max(ch.rq.Profile.Slots-spare, 1)
 		ch.states = append(ch.states, st)
 	}
 	ch.engineSecondCost = busyEngineSecondCost * ch.busyShare() * ch.busyShare()
@@ -169,7 +183,7 @@
 func (ch *chooser) busyShare() float64 {
 	n := 0
 	for i := range ch.states {
-		es := &ch.states[i].engine
+		es := ch.states[i].engine
 		if es.PrefillDoneAt.After(ch.now) || 2*es.UsedSlots() > ch.rq.Profile.Slots {
 			n++
 		}
--- a/internal/duty/forwarder/cold_rate_test.go
+++ b/internal/duty/forwarder/cold_rate_test.go
@@ -91,7 +91,7 @@
 	rq.Spec.ColdRate = coldRate
 	rq.Arrived, rq.FirstEventTarget, rq.FirstEventDeadline, rq.Deadline = now, now.Add(time.Second), now.Add(2*time.Second), now.Add(10*time.Second)
 	it := &item{id: fo.newFlightID(), rq: rq, service: "lm", placerReq: rq.placerRequest(fo.Domain), waitingSince: now}
-	de, _ := fo.decide(now, it, fo.Catalog.Usable(now, "lm"), fo.Tracker.Flights(now))
+	de, _ := fo.decide(fo.newRound(now), it)
 	if de.placement == nil {
 		return
 	}
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -96,6 +96,15 @@
 	// may have to be changed.
 	PublishParts func()
 
+	// Scheduler returns the address of the entry VM that places the requests of this one, and
+	// whether that is this one. It is empty if entry VMs tell each other of all requests and
+	// each places its own. Nil means that it is always empty.
+	Scheduler func(now time.Time) (address string, isSelf bool)
+	// SchedulerFailed is called when a scheduler did not reply.
+	SchedulerFailed func(address string, err error)
+	// Schedulers asks other entry VMs to place requests.
+	Schedulers ml.SchedulerPeers
+
 	// PropagationDelay returns the mean delay of updates between entry VMs. Nil means none.
 	PropagationDelay func() time.Duration
 
@@ -260,11 +269,21 @@
 		fo.Log.Info("failed", "request", rq.Outgoing.Attempt, "endpoint", pl.lead.ID, "incarnation", pl.lead.Incarnation,
 			"reason", ar.reason, "attemptEvents", ar.events, "parts", rq.Parts, "identity", rq.Identity)
 		if rq.Route.Kind == ml.RouteStream {
-			fo.Tracker.RecordFailure(pl.lead.ID)
+			fo.shareFailure(now, pl.lead.ID)
 		}
 	}
 }
 
+// shareFailure tells the scheduler of an engine's failure or, if there is none, the other entry
+// VMs.
+func (fo *Forwarder) shareFailure(now time.Time, id ml.EndpointID) {
+	if _, found := fo.scheduler(now); found {
+		fo.Tracker.RecordFailedRun(id)
+		return
+	}
+	fo.Tracker.RecordFailure(id)
+}
+
 func (fo *Forwarder) newFlightID() ml.FlightID {
 	return ml.FlightID(string(fo.Self) + "-" + strconv.FormatInt(fo.lastFlightNumber.Add(1), 36))
 }
--- a/internal/duty/forwarder/queue.go
+++ b/internal/duty/forwarder/queue.go
@@ -10,23 +10,36 @@
 	"github.com/mulberrylever/mulberrylever/internal/decision/placer"
 )
 
-// maxQueuedRequests bounds the requests that wait for placement.
-const maxQueuedRequests = 512
+const (
+	// maxQueuedRequests bounds the requests of this entry VM that wait for placement, and
+	// maxAskedRequests those of others for which it is the scheduler.
+	maxQueuedRequests, maxAskedRequests = 512, 4096
+	// askRetention is how long a request of another entry VM waits after that one last asked
+	// for a decision.
+	askRetention = 800 * time.Millisecond
+)
 
 // item is a request that waits for placement, here or at another entry VM.
 type item struct {
 	id           ml.FlightID
-	rq           *Request // nil for a request of another entry VM
+	rq           *Request             // nil for a request of another entry VM
+	ask          *ml.PlacementRequest // of another entry VM, which this one is to place
+	spec         *ml.ServiceSpec      // of ask
+	askedAt      time.Time            // when the other entry VM last asked; guarded by the queue's mutex
 	service      ml.ServiceName
 	placerReq    placer.Request
 	waitingSince time.Time
-	latestStart  time.Time // latest start at which an engine meets the objective
-	rank         int64     // latestStart in milliseconds, by the clock of the request's entry VM
-	shared       bool      // sent to the other entry VMs
-	outranked    bool      // more urgent requests need all free slots
-	result       chan<- decision
+	latestStart  time.Time     // latest start at which an engine meets the objective
+	rank         int64         // latestStart in milliseconds, by the clock of the request's entry VM
+	shared       bool          // sent to the other entry VMs
+	outranked    bool          // more urgent requests need all free slots
+	maxIdleWait  time.Duration // while no endpoint can take it at all
+	result       chan decision
 }
 
+// isSimulated reports whether another entry VM decides on the request.
+func (it *item) isSimulated() bool { return it.rq == nil && it.ask == nil }
+
 // decision is the result for a waiting request: a placement or an error.
 type decision struct {
 	placement *placement
@@ -60,7 +73,7 @@
 func (qu *queue) add(it *item) bool {
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
-	if len(qu.items) >= maxQueuedRequests {
+	if it.ask == nil && len(qu.items) >= maxQueuedRequests || len(qu.items) >= maxAskedRequests {
 		return false
 	}
 	qu.items = append(qu.items, it)
@@ -79,12 +92,36 @@
 	return true
 }
 
-func (qu *queue) snapshot() []*item {
+// snapshot returns the waiting requests, and drops those that other entry VMs no longer
+// ask for.
+func (qu *queue) snapshot(now time.Time) []*item {
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
+	qu.items = slices.DeleteFunc(qu.items, func(it *item) bool { return it.ask != nil && now.Sub(it.askedAt) >= askRetention })
 	return slices.Clone(qu.items)
 }
 
+// renew finds the request of another entry VM with an id, and records that it was asked for
+// again. It returns nil if there is none.
+func (qu *queue) renew(now time.Time, from ml.VMID, id ml.FlightID) *item {
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	for _, it := range qu.items {
+		if it.ask != nil && it.id == id && it.ask.From == from {
+			it.askedAt = now
+			return it
+		}
+	}
+	return nil
+}
+
+// withdraw removes requests that another entry VM no longer asks for.
+func (qu *queue) withdraw(from ml.VMID, ids []ml.FlightID) {
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	qu.items = slices.DeleteFunc(qu.items, func(it *item) bool { return it.ask != nil && it.ask.From == from && slices.Contains(ids, it.id) })
+}
+
 // sortByUrgency sorts waiting requests, the most urgent first. Those that can no
 // longer meet their objective come last. The order is the same at all entry VMs.
 func sortByUrgency(items []*item, now time.Time) {
--- a/internal/duty/forwarder/service.go
+++ b/internal/duty/forwarder/service.go
@@ -54,8 +54,9 @@
 		return nil
 	}
 	ep := candidates[at].Endpoint
+	isScheduled, _ := fo.isScheduled(now)
 	pl := &placement{lead: ep, usable: len(candidates), recentSends: fo.Tracker.RecentSends(now, ep.ID)}
-	fl := ml.Flight{ID: fo.newFlightID(), Endpoint: ep.ID, SentAt: now, FirstEventTarget: rq.FirstEventTarget}
+	fl := ml.Flight{ID: fo.newFlightID(), Endpoint: ep.ID, SentAt: now, FirstEventTarget: rq.FirstEventTarget, Unreported: isScheduled}
 	fo.Tracker.AddFlight(now, fl)
 	fo.Detector.RecordSend(now, ep.ID, ep.Incarnation)
 	pl.flights = []ml.FlightID{fl.ID}
--- a/internal/duty/forwarder/stalepeers.go
+++ b/internal/duty/forwarder/stalepeers.go
@@ -10,24 +10,23 @@
 // scheduleWithStalePeers decides on each waiting request when updates from peers
 // are too old to predict their placements. A request may be placed if fewer peer
 // requests are ahead of it than the engines have free slots.
-func (fo *Forwarder) scheduleWithStalePeers(now time.Time, items []*item, flights map[ml.EndpointID][]ml.Flight) {
-	all := append(fo.peerItems(now, items[0].rq), items...)
-	sortByUrgency(all, now)
-	unseen := fo.expectedUnseen(now, flights)
+func (fo *Forwarder) scheduleWithStalePeers(ro *round, items []*item) {
+	all := append(fo.peerItems(ro.now, items), items...)
+	sortByUrgency(all, ro.now)
+	unseen := fo.expectedUnseen(ro.now, ro.flights)
 	ahead := 0
 	for _, it := range all {
-		if it.rq == nil {
+		if it.isSimulated() {
 			ahead++
 			continue
 		}
 		it.placerReq.UnseenRequests = unseen
-		listings := fo.Catalog.Usable(now, it.service)
-		it.outranked = ahead >= freeSlots(it, listings, flights)
-		if de, decided := fo.decide(now, it, listings, flights); decided {
+		it.outranked = ahead >= freeSlots(it, fo.service(ro, it.service).listings, ro.flights)
+		if de, decided := fo.decide(ro, it); decided {
 			fo.deliver(it, de)
 			continue
 		}
-		fo.shareWaiting(now, it)
+		fo.shareWaiting(ro.now, it)
 	}
 }
 
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -12,7 +12,7 @@
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
-	"github.com/mulberrylever/mulberrylever/internal/decision/placer"
+	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
 )
 
 const (
@@ -82,22 +82,27 @@
 		return true
 	}
 	remainingWait := rq.FirstEventDeadline.Sub(rq.Arrived) / remainingWaitDivisor
-	pr := placer.Request{
-		Profile: rq.Spec.Engine, Prompt: rq.Prompt, Answer: rq.Answer, FirstEventTarget: now.Add(remainingWait), FirstEventDeadline: now.Add(remainingWait),
-		GapTarget: rq.Route.GapTarget, Value: placer.RequestValue(rq.Prompt), Domain: fo.Domain,
+	it := fo.newOwnItem(now, rq)
+	it.placerReq.FirstEventTarget, it.placerReq.FirstEventDeadline = now.Add(remainingWait), now.Add(remainingWait)
+	if address, found := fo.scheduler(now); found {
+		return fo.probeAt(address, it, lead)
 	}
-	flights := fo.Tracker.Flights(now)
-	candidates := []placer.Candidate{}
-	for _, li := range fo.Catalog.Usable(now, rq.Service) {
-		if li.ID == lead {
-			continue
-		}
-		ca := fo.candidate(now, li, flights[li.ID])
-		ca.Blocked = ca.Blocked || fo.rateReached(now, rq, li)
-		candidates = append(candidates, ca)
+	ro := fo.newRound(now)
+	for i, li := range fo.service(ro, rq.Service).listings {
+		ro.services[rq.Service].candidates[i].Blocked = ro.services[rq.Service].candidates[i].Blocked || li.ID == lead
 	}
-	ch := placer.Choose(now, &pr, candidates)
-	return !ch.Refused && !ch.Wait
+	return fo.couldPlace(ro, it)
+}
+
+// probeAt asks a scheduler whether an engine other than the one that has a request could take
+// it at once.
+func (fo *Forwarder) probeAt(address string, it *item, lead ml.EndpointID) bool {
+	now := time.Now()
+	pr := ml.PlacementRequest{QueuedRequest: it.queuedRequest(), From: fo.Self, Domain: fo.Domain, Excluded: append(fo.excluded(now, it.rq), lead), IsProbe: true}
+	ctx, cancel := context.WithTimeout(context.Background(), replyMargin)
+	defer cancel()
+	sp, err := fo.Schedulers.Schedule(ctx, address, tracker.EncodePlacementRequest(now, &pr))
+	return err == nil && sp.Refusal == ""
 }
 
 // resumable reports whether a stream may be resumed at another endpoint.
--- a/internal/duty/sharer/member.go
+++ b/internal/duty/sharer/member.go
@@ -60,6 +60,8 @@
 	version        ml.Version       // of the configuration in force there; 0 if it doesn't say
 	cut            []ml.ServiceName // to which it has lost all paths
 	cores          float64
+	schedules      bool          // places requests of other entry VMs
+	interval       time.Duration // the longest time until its next message
 	reachable      bool
 	failedAt       time.Time // when a message could not be sent; zero after a success
 	lastAckRequest time.Time // when it was last sent a message to acknowledge; used by runMember only
@@ -100,6 +102,10 @@
 			sh.membersVersion++
 		}
 		me.lastHeard, me.domain, me.cores, me.leaving, me.cut, me.version = now, sm.Domain, sm.Cores, sm.Leaving, sm.Cut, sm.Version
+		me.schedules = sm.Schedules
+		if sm.IntervalMs > 0 {
+			me.interval = time.Duration(sm.IntervalMs) * time.Millisecond
+		}
 	}
 }
 
@@ -222,7 +228,9 @@
 	sh.recordDelivery(ctx, me, err)
 	if err == nil {
 		sh.addMembers(ack.KnownAddresses)
-		sh.fetchRecords(ctx, me.address, ack.NextOffsets)
+		if sh.isBehind(ack.Digests, ack.NextOffsets) {
+			sh.fetchRecords(ctx, me.address)
+		}
 	}
 }
 
--- a/internal/duty/sharer/relay.go
+++ b/internal/duty/sharer/relay.go
@@ -26,9 +26,12 @@
 	// maxBatchMessages bounds the messages that wait to be relayed. If there are
 	// more, the oldest is dropped. The next full state supersedes it.
 	maxBatchMessages = 4096
-	// maxStoreReaders is the number of entry VMs in each failure domain that wait
-	// for changes at the platform's store in a large fleet.
-	maxStoreReaders = 2
+	// storeReaders is the number of entry VMs that wait for changes at the platform's store
+	// in a large fleet, and at least one in each failure domain.
+	storeReaders = 3
+	// firstReaders is the number of entry VMs from which the others learn what has changed in
+	// the store.
+	firstReaders = 2
 )
 
 // batchedMessage is a message that waits to be relayed.
@@ -57,7 +60,13 @@
 
 // canRelay reports whether a member can be used as a relay.
 func (me *member) canRelay(now time.Time) bool {
-	return now.Sub(me.failedAt) > relayFailureBackoff && !me.leaving && now.Sub(me.lastHeard) < relayLivenessTimeout
+	return now.Sub(me.failedAt) > relayFailureBackoff && !me.leaving && me.isHeard(now)
+}
+
+// isHeard reports whether a member was heard when it was to be: no later than two of its
+// intervals ago.
+func (me *member) isHeard(now time.Time) bool {
+	return now.Sub(me.lastHeard) < max(relayLivenessTimeout, 2*me.interval)
 }
 
 // precedes reports whether a member is a better relay than another entry VM.
@@ -74,21 +83,48 @@
 func (sh *Sharer) usesRelays() bool { return len(sh.members) >= relayThreshold }
 
 // ReadsStore reports whether this entry VM waits for changes at the platform's
-// store. In a small fleet all entry VMs do, in a large one maxStoreReaders in each
-// failure domain.
+// store. In a small fleet all entry VMs do, in a large one some in each failure domain.
 func (sh *Sharer) ReadsStore(now time.Time) bool {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	if !sh.usesRelays() {
 		return true
 	}
+	domains := map[ml.DomainID]bool{sh.Domain: true}
+	for _, me := range sh.members {
+		domains[me.domain] = true
+	}
+	return sh.leadersBefore(now) < (storeReaders+len(domains)-1)/len(domains)
+}
+
+// StoreReader returns the address of the member of the own failure domain that waits for
+// changes at the platform's store. The second result is false if this entry VM reads the store
+// itself, or if there is none.
+func (sh *Sharer) StoreReader(now time.Time) (string, bool) {
+	if sh.ReadsStore(now) {
+		return "", false
+	}
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	re := sh.findRelay(now, sh.Domain)
+	if re == nil || !re.schedules { // an earlier release can't be asked
+		return "", false
+	}
+	return re.address, true
+}
+
+// IsFirst reports whether this entry VM is one of the firstReaders first of all that are
+// alive, in the order of precedes.
+func (sh *Sharer) IsFirst(now time.Time) bool {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
 	n := 0
 	for _, me := range sh.members {
-		if me.domain == sh.Domain && me.canRelay(now) && me.precedes(sh.Cores, sh.Address) {
+		if me.canRelay(now) && me.precedes(sh.Cores, sh.Address) {
 			n++
 		}
 	}
-	return n < maxStoreReaders
+	return n < firstReaders
 }
 
 // addToBatch adds a message to the next batch. The caller must hold sh.mu.
--- a/internal/duty/sharer/sharer.go
+++ b/internal/duty/sharer/sharer.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -35,6 +36,11 @@
 	// alive.
 	fullStateEvery  = 4
 	peerCallTimeout = time.Second
+	// fetchInterval is the shortest time between two fetches of records from members.
+	fetchInterval = 300 * time.Millisecond
+	// readerPatience is how long an entry VM that reads the store waits for what another one
+	// has read there.
+	readerPatience = 100 * time.Millisecond
 )
 
 // Sharer exchanges state with the other entry VMs. Its exported fields must be set
@@ -57,6 +63,13 @@
 	// cleared.
 	ShareCleared func(parts []ml.PartID)
 	Cut          func() []ml.ServiceName // services to which this entry VM has lost all paths
+	// Schedules means that this entry VM places requests of others when it is asked.
+	Schedules bool
+	// OnReport is called with the endpoints that have answered or failed requests that this
+	// entry VM has placed for another one, and OnWithdrawn with requests that another entry
+	// VM no longer asks it to place. They may be nil.
+	OnReport    func(now time.Time, answered, failed []ml.EndpointID)
+	OnWithdrawn func(from ml.VMID, ids []ml.FlightID)
 
 	changed       chan struct{} // there are changes to send
 	batchReady    chan struct{} // there are messages to relay
@@ -66,7 +79,9 @@
 	batch         []batchedMessage
 	sentCut       []ml.ServiceName // as sent last; used by Run only
 	periodicCount int              // periodic messages built so far; used by Run only
+	reportsTo     string           // address of the scheduler that knows the requests; used by Run only
 	fetching      atomic.Bool      // records are being fetched from a member
+	fetchedAt     time.Time        // when they were fetched last; guarded by fetching
 
 	dropped        map[string]time.Time // when members of this domain were dropped, by address
 	membersVersion int64                // increases with each change of the members or their domains
@@ -128,6 +143,10 @@
 	sh.mu.Lock()
 	changes.Records, sh.unsentRecords = sh.unsentRecords, nil
 	sh.mu.Unlock()
+	if address, isSelf := sh.Scheduler(now); address != "" {
+		changes = sh.report(now, address, isSelf, changes)
+		found = isNews(&changes)
+	}
 	cut := sh.Cut()
 	if found || len(changes.Records) > 0 || !slices.Equal(cut, sh.sentCut) {
 		sh.sentCut = cut
@@ -140,37 +159,53 @@
 func (sh *Sharer) sendState(ctx context.Context, now time.Time) time.Duration {
 	sh.observePause(now)
 	sh.sendChanges(now)
-	sh.broadcast(now, sh.periodicState(now))
+	sh.periodicCount++
+	known := sh.liveAddresses(now)
+	interval := min(max(stateInterval, stateIntervalPerMember*time.Duration(len(known))), maxStateInterval)
+	ticks := sh.heartbeatTicks(now, interval)
+	if sh.periodicCount%ticks == 0 {
+		sh.broadcast(now, sh.periodicState(now, time.Duration(ticks)*interval))
+	}
 	sh.dropExpired(now)
 	for _, address := range sh.Seeds {
 		sh.AddMember(ctx, address)
 	}
-	known := sh.liveAddresses(now)
+	if sh.periodicCount%ticks != 0 {
+		known = nil
+	}
 	sh.sendDigest(known)
-	return min(max(stateInterval, stateIntervalPerMember*time.Duration(len(known))), maxStateInterval)
+	return interval
 }
 
 // periodicState returns the message that is sent periodically so that others know
 // that this entry VM is alive. It holds the full state, in a large fleet only once
 // in fullStateEvery calls.
-func (sh *Sharer) periodicState(now time.Time) ml.ShareMessage {
+func (sh *Sharer) periodicState(now time.Time, interval time.Duration) ml.ShareMessage {
 	sh.mu.Lock()
 	large := sh.usesRelays()
 	sh.mu.Unlock()
-	sh.periodicCount++
-	if large && sh.periodicCount%fullStateEvery != 0 {
-		return ml.ShareMessage{}
+	address, isSelf := sh.Scheduler(now)
+	sm := ml.ShareMessage{IntervalMs: interval.Milliseconds(), Scheduled: address != ""}
+	isFull := !large || sh.periodicCount%fullStateEvery == 0 || interval > maxStateInterval
+	if isFull || address != "" {
+		sm = sh.Tracker.Snapshot(now)
+		sm.IntervalMs = interval.Milliseconds()
+	}
+	if address != "" {
+		sm = sh.reportState(address, isSelf, sm)
+	}
+	if isFull {
+		sm.Blocked, sm.Departures = sh.Attributor.Blocked(now), sh.Catalog.Departures()
 	}
-	sm := sh.Tracker.Snapshot(now)
-	sm.Blocked, sm.Departures = sh.Attributor.Blocked(now), sh.Catalog.Departures()
 	return sm
 }
 
-// sendDigest sends the known addresses and the read offsets to one member, chosen at
+// sendDigest sends the known addresses and a digest of the catalog to one member, chosen at
 // random. The acknowledgement holds those of the member, so that what was missed
 // because of lost messages is found.
 func (sh *Sharer) sendDigest(known []string) {
-	om := sh.encode(sh.withSender(ml.ShareMessage{KnownAddresses: known, NextOffsets: sh.Catalog.NextOffsets()}))
+	om := sh.encode(sh.withSender(ml.ShareMessage{KnownAddresses: known, Digests: sh.Catalog.Digests()}))
+	om.needsAck = true
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	skip := rand.IntN(max(len(sh.members), 1))
@@ -186,7 +221,7 @@
 // withSender adds what identifies this entry VM to a message.
 func (sh *Sharer) withSender(sm ml.ShareMessage) ml.ShareMessage {
 	sm.From, sm.Address, sm.Domain, sm.Cores, sm.Leaving = sh.Self, sh.Address, sh.Domain, sh.Cores, sh.Leaving()
-	sm.Cut, sm.Version = sh.Cut(), sh.Catalog.Version()
+	sm.Cut, sm.Version, sm.Schedules = sh.Cut(), sh.Catalog.Version(), sh.Schedules
 	return sm
 }
 
@@ -204,6 +239,8 @@
 	}
 	if len(sm.Records) > 0 {
 		sh.sendRecordsToDomain(sm)
+		sh.announceRecords(now)
+		sm.Records = nil
 	}
 	if re := sh.findRelay(now, sh.Domain); re != nil {
 		sm.Relay = true
@@ -225,6 +262,22 @@
 	}
 }
 
+// announceRecords tells one member of each other failure domain that there are new records.
+// It reads them in the store, or fetches them if it can't. The caller must hold sh.mu.
+func (sh *Sharer) announceRecords(now time.Time) {
+	om := sh.encode(sh.withSender(ml.ShareMessage{Digests: sh.Catalog.Digests()}))
+	announced := map[ml.DomainID]bool{sh.Domain: true, "": true}
+	for _, me := range sh.members {
+		if announced[me.domain] {
+			continue
+		}
+		announced[me.domain] = true
+		if re := sh.findRelay(now, me.domain); re != nil {
+			sh.enqueue(re, om)
+		}
+	}
+}
+
 // OnShare implements ml.ShareHandler.
 func (sh *Sharer) OnShare(sm ml.ShareMessage) ml.ShareAck {
 	now := time.Now()
@@ -235,13 +288,16 @@
 	if sm.Relay {
 		sh.relayFor(now, sm)
 	}
-	ack := ml.ShareAck{NextOffsets: sh.Catalog.NextOffsets()}
+	ack := ml.ShareAck{Digests: sh.Catalog.Digests()}
+	if sm.Digests == nil {
+		ack.NextOffsets = sh.Catalog.NextOffsets() // the sender may be of an earlier release
+	}
 	if len(sm.KnownAddresses) > 0 {
 		ack.KnownAddresses = sh.liveAddresses(now)
 		sh.addMembers(sm.KnownAddresses)
 	}
-	if len(sm.NextOffsets) > 0 {
-		go sh.runFetchRecords(sm.Address, sm.NextOffsets)
+	if sh.isBehind(sm.Digests, sm.NextOffsets) {
+		go sh.runFetchRecords(sm.Address, sm.Digests)
 	}
 	return ack
 }
@@ -253,7 +309,8 @@
 	}
 	sh.AddMember(context.Background(), sm.Address)
 	sh.updateMember(now, sm)
-	sh.Tracker.ApplyPeerUpdate(now.Add(-time.Duration(sm.AgeMs)*time.Millisecond), sm)
+	answered := sh.Tracker.ApplyPeerUpdate(now.Add(-time.Duration(sm.AgeMs)*time.Millisecond), sm)
+	sh.applyReport(now, sm, answered)
 	if len(sm.Records) > 0 {
 		sh.Catalog.Merge(now, sm.Records, nil)
 	}
@@ -270,32 +327,64 @@
 	}
 }
 
-// fetchRecords fetches the records that a member knows and this entry VM doesn't. Only one
-// fetch runs at a time. What the member knew when it sent its offsets may be gone by the
-// time it replies, since its process may have been replaced, and one that has started later
-// doesn't know what was deleted before: only what the reply covers counts.
-func (sh *Sharer) fetchRecords(ctx context.Context, address string, nextOffsets map[ml.TopicName]ml.Offset) {
+// isBehind reports whether another entry VM may know more of the store's records than this
+// one. One of an earlier release says only up to which offsets it has read.
+func (sh *Sharer) isBehind(digests map[ml.TopicName]ml.CatalogDigest, nextOffsets map[ml.TopicName]ml.Offset) bool {
+	if !sh.Catalog.HasListed() {
+		return true // this one has just started
+	}
+	if digests != nil {
+		return !maps.Equal(digests, sh.Catalog.Digests())
+	}
 	own := sh.Catalog.NextOffsets()
-	behind := false
 	for to, offset := range nextOffsets {
-		behind = behind || offset > own[to]
+		if offset > own[to] {
+			return true
+		}
 	}
-	if !behind || !sh.fetching.CompareAndSwap(false, true) {
+	return false
+}
+
+// fetchRecords fetches the records that a member knows and this entry VM doesn't. Only one
+// fetch runs at a time, and only one each fetchInterval after the catalogs were found to
+// differ, since the member may be the one that is behind. What the member knew before it
+// replies may be gone by then, since its process may have been replaced, and one that has
+// started later doesn't know what was deleted before: only what the reply covers counts.
+func (sh *Sharer) fetchRecords(ctx context.Context, address string) {
+	if !sh.fetching.CompareAndSwap(false, true) {
 		return
 	}
 	defer sh.fetching.Store(false)
+	if time.Since(sh.fetchedAt) < fetchInterval {
+		return
+	}
 	callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
+	own := sh.Catalog.NextOffsets()
 	reply, err := sh.Peers.Records(callCtx, address, own)
 	if err != nil {
 		sh.Log.Warn("store records not fetched from peer", "peer", address, "error", err)
 		return
 	}
-	sh.Catalog.Merge(time.Now(), reply.Records, reply.Covered(own))
+	sh.fetchedAt = time.Now()
+	changed := sh.Catalog.Merge(sh.fetchedAt, reply.Records, reply.Covered(own))
+	sh.Catalog.Adopt(&reply)
+	if len(changed) > 0 && sh.ReadsStore(sh.fetchedAt) {
+		sh.PublishRecords(changed) // the store may turn this whole domain away
+	}
 }
 
-func (sh *Sharer) runFetchRecords(address string, nextOffsets map[ml.TopicName]ml.Offset) {
-	sh.fetchRecords(context.Background(), address, nextOffsets)
+// runFetchRecords fetches the records of a member that has sent digests. An entry VM that
+// reads the store itself waits for a moment, since it will most likely read them there.
+func (sh *Sharer) runFetchRecords(address string, digests map[ml.TopicName]ml.CatalogDigest) {
+	ctx, before := context.Background(), sh.Catalog.Digests()
+	if sh.ReadsStore(time.Now()) && digests != nil {
+		pacer.Sleep(ctx, readerPatience)
+		if now := sh.Catalog.Digests(); maps.Equal(now, digests) || !maps.Equal(now, before) {
+			return
+		}
+	}
+	sh.fetchRecords(ctx, address)
 }
 
 // OnRecords implements ml.ShareHandler.
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -72,17 +72,20 @@
 	confirmedAt     map[ml.TopicName]time.Time // when the newest read of a topic that was answered was sent
 	reusedAddresses map[ml.EndpointID]ml.Incarnation
 	departures      map[ml.Departure]time.Time // when they became known
+	digests         map[ml.TopicName]ml.CatalogDigest
+	contents        map[contentKey]ml.CatalogDigest // of each key, as it is in digests
 }
 
 // Merge applies records of another entry VM, which has passed on all that it knows before
 // the given offsets. Records older than the known ones are ignored. The store is still read
 // from where this entry VM itself has read it: another one may not have known everything,
-// such as the deletions before it started.
-func (ca *Cataloger) Merge(now time.Time, records []ml.KeyRecord, nextOffsets map[ml.TopicName]ml.Offset) {
-	ca.mergeAll(now, records, fromPeer)
+// such as the deletions before it started. It returns the records that change the catalog.
+func (ca *Cataloger) Merge(now time.Time, records []ml.KeyRecord, nextOffsets map[ml.TopicName]ml.Offset) []ml.KeyRecord {
+	changed := ca.mergeAll(now, records, fromPeer)
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
 	raise(&ca.heardOffsets, nextOffsets)
+	return changed
 }
 
 // MergeFromStore applies records read from the store itself. The topic has been
@@ -146,7 +149,9 @@
 		return false
 	}
 	keys[re.Key] = re
-	return ca.apply(now, re, so)
+	changed := ca.apply(now, re, so)
+	ca.updateDigest(re)
+	return changed
 }
 
 func (ca *Cataloger) apply(now time.Time, re ml.KeyRecord, so source) bool {
@@ -221,6 +226,19 @@
 	}
 }
 
+// RecordConfirmation records that all that the store had acknowledged in a topic by a time is
+// applied, as another entry VM has confirmed.
+func (ca *Cataloger) RecordConfirmation(at time.Time, to ml.TopicName) {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	if ca.confirmedAt == nil {
+		ca.readAt, ca.confirmedAt = make(map[ml.TopicName]time.Time), make(map[ml.TopicName]time.Time)
+	}
+	if at.After(ca.confirmedAt[to]) {
+		ca.confirmedAt[to] = at
+	}
+}
+
 // ConfigConfirmedAt returns a time up to which all configurations that the store had
 // acknowledged in a topic are in force. It is zero before the first read, and while the
 // newest one can't be decoded.
--- /dev/null
+++ b/internal/state/cataloger/digest_test.go
@@ -0,0 +1,80 @@
+package cataloger_test
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	ml "github.com/mulberrylever/mulberrylever"
+)
+
+// TestDigests checks that two catalogs have equal digests if and only if they hold the same,
+// whatever the order in which they got the records.
+func TestDigests(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		records, keys := []ml.KeyRecord{}, []string{"config", "out/a", "part/p", "e1", "e2"}
+		for i := range rapid.IntRange(1, 12).Draw(rt, "records") {
+			key := rapid.SampledFrom(keys).Draw(rt, "key")
+			value := rapid.SampledFrom([]string{"", "live@a", "leaving@a", "live@b"}).Draw(rt, "value")
+			if key == "config" {
+				value = fmt.Sprint(i + 1)
+			}
+			records = append(records, record(key, value, ml.Offset(i)))
+		}
+		one, other := newCataloger(), newCataloger()
+		one.Merge(start, records, nil)
+		other.Merge(start, rapid.Permutation(records).Draw(rt, "order"), nil)
+		if !maps.Equal(one.Digests(), other.Digests()) {
+			rt.Fatalf("digests differ: %v, %v", one.Digests(), other.Digests())
+		}
+		missing := newCataloger()
+		missing.Merge(start, records[:len(records)-1], nil)
+		last, before := records[len(records)-1], ""
+		for _, re := range records[:len(records)-1] {
+			if re.Key == last.Key {
+				before = string(re.Value)
+			}
+		}
+		if differs := !maps.Equal(one.Digests(), missing.Digests()); differs != (before != string(last.Value)) {
+			rt.Fatalf("without the last record %v, before which the key held %q: digests differ: %t", last, before, differs)
+		}
+	})
+}
+
+// TestHeartbeatsKeepDigest checks that a record that only says that an endpoint lives doesn't
+// change the digest: entry VMs don't pass it on.
+func TestHeartbeatsKeepDigest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ca := newCataloger()
+	ca.Merge(start, []ml.KeyRecord{record("e1", "live@a", 1)}, nil)
+	before := ca.Digests()
+	ca.Merge(start, []ml.KeyRecord{record("e1", "live@a", 2)}, nil)
+	g.Expect(ca.Digests()).To(gomega.Equal(before))
+	ca.Merge(start, []ml.KeyRecord{record("e1", "leaving@a", 3)}, nil)
+	g.Expect(ca.Digests()).NotTo(gomega.Equal(before))
+}
+
+// TestAdopt checks that an entry VM that has just started takes over a listing, and that one
+// that has listed a topic itself doesn't.
+func TestAdopt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	old, fresh := newCataloger(), newCataloger()
+	old.MergeFromStore(start, "t", []ml.KeyRecord{record("e1", "live@a", 3)}, 5)
+	old.DeleteUnlisted(start, "t", map[string]bool{"e1": true}, 5)
+	old.MergeFromStore(start, "t", []ml.KeyRecord{record("e2", "live@a", 6)}, 9)
+	reply := old.RecordsFrom(nil)
+	fresh.Merge(start, reply.Records, reply.Covered(nil))
+	g.Expect(fresh.IsTopicListed("t")).To(gomega.BeFalse())
+	fresh.Adopt(&reply)
+	g.Expect(fresh.IsTopicListed("t")).To(gomega.BeTrue())
+	g.Expect(fresh.ReadOffset("t")).To(gomega.Equal(ml.Offset(9)))
+	g.Expect(fresh.Digests()).To(gomega.Equal(old.Digests()))
+
+	fresh.MergeFromStore(start, "t", nil, 20)
+	older := old.RecordsFrom(nil)
+	fresh.Adopt(&older)
+	g.Expect(fresh.ReadOffset("t")).To(gomega.Equal(ml.Offset(20)), "what was read here counts")
+}
--- a/internal/state/tracker/shared.go
+++ b/internal/state/tracker/shared.go
@@ -50,3 +50,19 @@
 		FirstEventDeadline: now.Add(time.Duration(sq.FirstEventDeadlineMs) * time.Millisecond), GapTarget: time.Duration(sq.GapTargetMs) * time.Millisecond, Value: sq.Value, Rank: sq.Rank,
 	}
 }
+
+// EncodePlacementRequest returns a request to a scheduler as it is sent.
+func EncodePlacementRequest(now time.Time, pr *ml.PlacementRequest) ml.SharedPlacementRequest {
+	return ml.SharedPlacementRequest{
+		SharedQueuedRequest: encodeWaiting(now, pr.QueuedRequest), From: pr.From, Domain: pr.Domain, Excluded: pr.Excluded,
+		MaxIdleWaitMs: pr.MaxIdleWait.Milliseconds(), IsProbe: pr.IsProbe,
+	}
+}
+
+// DecodePlacementRequest returns a request to a scheduler, with its times relative to now.
+func DecodePlacementRequest(now time.Time, sp *ml.SharedPlacementRequest) ml.PlacementRequest {
+	return ml.PlacementRequest{
+		QueuedRequest: decodeWaiting(now, sp.SharedQueuedRequest), From: sp.From, Domain: sp.Domain, Excluded: sp.Excluded,
+		MaxIdleWait: time.Duration(sp.MaxIdleWaitMs) * time.Millisecond, IsProbe: sp.IsProbe,
+	}
+}
--- a/internal/state/tracker/tracker.go
+++ b/internal/state/tracker/tracker.go
@@ -5,6 +5,7 @@
 package tracker
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 	// peerWaitingExpiry is the time after a peer's last message at which its
 	// waiting requests are ignored.
 	peerWaitingExpiry = 1200 * time.Millisecond
+	// unconfirmedTime is how long a flight that this entry VM has scheduled for a peer stays
+	// although a snapshot of the peer lacks it: the peer may not have known of it yet.
+	unconfirmedTime = time.Second
 	// recentSendsWindow is the period for which RecentSends counts requests.
 	recentSendsWindow = time.Second
 	// maxSendsWindow is the longest window for which LocalSends counts requests.
@@ -50,27 +54,68 @@
 
 // peer is the state that another entry VM has reported.
 type peer struct {
-	lastHeard time.Time
-	leaving   bool
-	flights   map[ml.FlightID]*ml.Flight
-	waiting   map[ml.FlightID]ml.QueuedRequest
+	lastHeard  time.Time
+	reportedAt time.Time // when it last reported its requests here
+	leaving    bool
+	flights    map[ml.FlightID]*ml.Flight
+	waiting    map[ml.FlightID]ml.QueuedRequest
 }
 
 // AddFlight records a flight of this entry VM.
 func (tr *Tracker) AddFlight(now time.Time, fl ml.Flight) {
 	tr.mu.Lock()
+	tr.addLocalFlight(now, &fl)
+	if !fl.Unreported {
+		tr.unsentChanges.Flights = append(tr.unsentChanges.Flights, encodeFlight(now, &fl))
+	}
+	tr.mu.Unlock()
+	tr.notifyLocalChange()
+}
+
+// AddScheduledFlight records a flight of this entry VM that another one, which knows it,
+// has scheduled.
+func (tr *Tracker) AddScheduledFlight(now time.Time, fl ml.Flight) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.addLocalFlight(now, &fl)
+}
+
+// addLocalFlight records a flight of this entry VM. The caller must hold tr.mu.
+func (tr *Tracker) addLocalFlight(now time.Time, fl *ml.Flight) {
 	if tr.localFlights == nil {
 		tr.localFlights = make(map[ml.FlightID]*ml.Flight)
 	}
 	fl.LastEventAt = now
-	tr.localFlights[fl.ID] = &fl
+	tr.localFlights[fl.ID] = fl
 	tr.recordSend(now, fl.Endpoint)
 	if !fl.Helper {
-		tr.addLocalSend(now, &fl)
+		tr.addLocalSend(now, fl)
 	}
-	tr.unsentChanges.Flights = append(tr.unsentChanges.Flights, encodeFlight(now, &fl))
-	tr.mu.Unlock()
-	tr.notifyLocalChange()
+}
+
+// AddPeerFlight records a flight that this entry VM has scheduled for another one.
+func (tr *Tracker) AddPeerFlight(now time.Time, from ml.VMID, fl ml.Flight) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	pe := tr.ensurePeer(from)
+	pe.lastHeard, pe.reportedAt = now, now
+	pe.flights[fl.ID] = &fl
+	tr.recordSend(now, fl.Endpoint)
+}
+
+// EndPeerFlights removes the flights of a request that this entry VM has scheduled for
+// another one.
+func (tr *Tracker) EndPeerFlights(from ml.VMID, request ml.FlightID) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if pe := tr.peers[from]; pe != nil {
+		pe.endRequest(request)
+	}
+}
+
+// endRequest removes all flights of a request.
+func (pe *peer) endRequest(id ml.FlightID) {
+	maps.DeleteFunc(pe.flights, func(fl ml.FlightID, _ *ml.Flight) bool { return fl.Request() == id })
 }
 
 // RecordEvent records that an event of a flight's answer has arrived.
@@ -103,7 +148,9 @@
 	}
 	tr.removeUnsent(fl)
 	delete(tr.localFlights, id)
-	tr.unsentChanges.Ended = append(tr.unsentChanges.Ended, id)
+	if !fl.Unreported {
+		tr.unsentChanges.Ended = append(tr.unsentChanges.Ended, id)
+	}
 	tr.mu.Unlock()
 	tr.notifyLocalChange()
 }
@@ -135,7 +182,7 @@
 	defer tr.mu.Unlock()
 	out := []ml.QueuedRequest{}
 	for _, pe := range tr.peers {
-		if now.Sub(pe.lastHeard) >= peerWaitingExpiry {
+		if now.Sub(pe.reportedAt) >= peerWaitingExpiry {
 			continue
 		}
 		for _, qr := range pe.waiting {
@@ -153,6 +200,25 @@
 	tr.unsentChanges.Failed = append(tr.unsentChanges.Failed, id)
 }
 
+// RecordFailedRun adds the failure of an engine that had received a request to the changes
+// for the scheduler.
+func (tr *Tracker) RecordFailedRun(id ml.EndpointID) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.unsentChanges.FailedRuns = append(tr.unsentChanges.FailedRuns, id)
+}
+
+// RecordWithdrawn adds to the changes for the scheduler that this entry VM no longer asks
+// it to place a request.
+func (tr *Tracker) RecordWithdrawn(id ml.FlightID) {
+	tr.mu.Lock()
+	tr.unsentChanges.Withdrawn = append(tr.unsentChanges.Withdrawn, id)
+	tr.mu.Unlock()
+	if tr.OnLocalChange != nil {
+		tr.OnLocalChange()
+	}
+}
+
 // ShareCrash adds the crash of an engine to the changes for the peers.
 func (tr *Tracker) ShareCrash(sc ml.SharedCrash) {
 	tr.mu.Lock()
@@ -190,7 +256,7 @@
 	defer tr.mu.Unlock()
 	sm := tr.unsentChanges
 	tr.unsentChanges = ml.ShareMessage{}
-	return sm, len(sm.Flights)+len(sm.Waiting)+len(sm.Started)+len(sm.Ended)+len(sm.Failed)+len(sm.Crashes)+len(sm.Cleared)+len(sm.Blocked)+len(sm.Limits)+len(sm.Departures) > 0
+	return sm, len(sm.Flights)+len(sm.Waiting)+len(sm.Started)+len(sm.Ended)+len(sm.Withdrawn)+len(sm.Failed)+len(sm.FailedRuns)+len(sm.Crashes)+len(sm.Cleared)+len(sm.Blocked)+len(sm.Limits)+len(sm.Departures) > 0
 }
 
 // Snapshot returns all flights and waiting requests of this entry VM.
@@ -199,7 +265,9 @@
 	defer tr.mu.Unlock()
 	sm := ml.ShareMessage{Full: true, Limits: tr.sharedLimits(now)}
 	for _, fl := range tr.localFlights {
-		sm.Flights = append(sm.Flights, encodeFlight(now, fl))
+		if !fl.Unreported {
+			sm.Flights = append(sm.Flights, encodeFlight(now, fl))
+		}
 	}
 	for _, qr := range tr.localWaiting {
 		sm.Waiting = append(sm.Waiting, encodeWaiting(now, qr))
@@ -207,13 +275,20 @@
 	return sm
 }
 
-// ApplyPeerUpdate applies a peer's changes or its snapshot.
-func (tr *Tracker) ApplyPeerUpdate(now time.Time, sm ml.ShareMessage) {
+// ApplyPeerUpdate applies a peer's changes or its snapshot. It returns the engines whose
+// answers to the peer have begun and ended.
+func (tr *Tracker) ApplyPeerUpdate(now time.Time, sm ml.ShareMessage) []ml.EndpointID {
 	tr.mu.Lock()
 	pe := tr.ensurePeer(sm.From)
 	pe.lastHeard, pe.leaving = now, sm.Leaving
+	if sm.Scheduled {
+		tr.applyLimits(now, sm.Limits)
+		tr.mu.Unlock()
+		return nil
+	}
+	pe.reportedAt = now
 	if sm.Full {
-		clear(pe.flights)
+		maps.DeleteFunc(pe.flights, func(_ ml.FlightID, fl *ml.Flight) bool { return now.Sub(fl.SentAt) >= unconfirmedTime || !fl.Scheduled })
 		clear(pe.waiting)
 	}
 	for _, sf := range sm.Flights {
@@ -231,16 +306,24 @@
 			fl.FirstEventAt = now
 		}
 	}
+	answered := []ml.EndpointID{}
 	for _, id := range sm.Ended {
+		if fl := pe.flights[id]; fl != nil && !fl.Helper && !fl.FirstEventAt.IsZero() {
+			answered = append(answered, fl.Endpoint)
+		}
 		delete(pe.flights, id)
 		delete(pe.waiting, id)
 	}
+	for _, id := range sm.Withdrawn {
+		pe.endRequest(id)
+	}
 	tr.applyLimits(now, sm.Limits)
-	capacityFreed := len(sm.Started)+len(sm.Ended) > 0
+	capacityFreed := len(sm.Started)+len(sm.Ended)+len(sm.Withdrawn) > 0
 	tr.mu.Unlock()
 	if capacityFreed || sm.Full {
 		tr.notifyChange()
 	}
+	return answered
 }
 
 // ensurePeer returns the state of another entry VM, creating it if needed.
@@ -285,10 +368,15 @@
 		out[fl.Endpoint] = append(out[fl.Endpoint], *fl)
 	}
 	for id, pe := range tr.peers {
-		if now.Sub(pe.lastHeard) >= peerExpiry {
+		if now.Sub(pe.lastHeard) >= peerExpiry && now.Sub(pe.reportedAt) >= peerExpiry {
 			delete(tr.peers, id)
 			continue
 		}
+		if now.Sub(pe.reportedAt) >= peerExpiry {
+			clear(pe.flights)
+			clear(pe.waiting)
+			continue
+		}
 		for id, fl := range pe.flights {
 			if now.Sub(fl.SentAt) >= maxFlightAge {
 				delete(pe.flights, id)
--- a/serving.go
+++ b/serving.go
@@ -1,6 +1,10 @@
 package mulberrylever
 
-import "time"
+import (
+	"strconv"
+	"strings"
+	"time"
+)
 
 // RouteName identifies a route.
 type RouteName string
@@ -122,6 +126,20 @@
 // FlightID identifies a flight or a queued request within the fleet.
 type FlightID string
 
+// flightSeparator separates the id of a request from the number of a flight.
+const flightSeparator = "~"
+
+// Flight returns the id of a request's flight with a number.
+func (fi FlightID) Flight(number int) FlightID {
+	return fi + flightSeparator + FlightID(strconv.Itoa(number))
+}
+
+// Request returns the id of the request that a flight belongs to.
+func (fi FlightID) Request() FlightID {
+	request, _, _ := strings.Cut(string(fi), flightSeparator)
+	return FlightID(request)
+}
+
 // Flight is an in-flight request: sent to an endpoint by an entry VM, with the
 // work that it causes there.
 type Flight struct {
@@ -139,6 +157,8 @@
 	Partial            bool          // one of several engines that prefill parts of the prompt
 	Helper             bool          // Partial, and another engine generates the answer
 	LastEventAt        time.Time     // time of the latest event, initially SentAt
+	Scheduled          bool          // decided by this entry VM for another one
+	Unreported         bool          // other entry VMs are not told of it
 }
 
 // QueuedRequest is a request in an entry VM's queue that waits for an engine.
