--- a/internal/duty/forwarder/service.go
+++ b/internal/duty/forwarder/service.go
@@ -11,7 +11,8 @@
 )
 
 // placeService finds an endpoint of a plain service. While there is none, it waits
-// for a part of the objective.
+// for a part of the objective. Then one that has failed the request before may get it again:
+// when all others are lost, one that fails some requests is better than none.
 func (fo *Forwarder) placeService(ctx context.Context, rq *Request) (*placement, error) {
 	start := time.Now()
 	for {
@@ -19,14 +20,15 @@
 		if fo.mustCarry(now, rq) {
 			return nil, errPathsLost
 		}
-		if pl := fo.chooseService(now, rq); pl != nil {
+		hasWaited := now.Sub(start) >= rq.Route.Target/noEndpointWaitDivisor
+		if pl := fo.chooseService(now, rq, hasWaited); pl != nil {
 			pl.waited = now.Sub(start)
 			return pl, nil
 		}
 		if left := fo.pauseLeft(now, fo.Catalog.Usable(now, rq.Service)); left > 0 {
 			return nil, &unplaceableError{reason: errAllPaused.Error(), retryAfter: left}
 		}
-		if now.Sub(start) >= rq.Route.Target/noEndpointWaitDivisor {
+		if hasWaited {
 			return nil, &unplaceableError{reason: "no endpoint of the service can be used", retryAfter: defaultRetryAfter}
 		}
 		select {
@@ -37,14 +39,16 @@
 	}
 }
 
-func (fo *Forwarder) chooseService(now time.Time, rq *Request) *placement {
+// chooseService places a request of a plain service, if it can be placed now. Endpoints that
+// were tried before are left out unless mayRepeat is set.
+func (fo *Forwarder) chooseService(now time.Time, rq *Request, mayRepeat bool) *placement {
 	fo.choosing.Lock()
 	defer fo.choosing.Unlock()
 	flights := fo.Tracker.Flights(now)
 	candidates := []placer.ServiceCandidate{}
 	for _, li := range fo.Catalog.Usable(now, rq.Service) {
 		ca := fo.candidate(now, li, flights[li.ID])
-		ca.Blocked = ca.Blocked || fo.rateReached(now, rq, li) || slices.Contains(rq.triedEndpoints, li.ID)
+		ca.Blocked = ca.Blocked || fo.rateReached(now, rq, li) || !mayRepeat && slices.Contains(rq.triedEndpoints, li.ID)
 		candidates = append(candidates, placer.ServiceCandidate{
 			Endpoint: ca.Endpoint, Running: len(ca.Flights), FailureRate: ca.FailureRate, Blocked: ca.Blocked,
 		})
--- a/internal/duty/forwarder/share_test.go
+++ b/internal/duty/forwarder/share_test.go
@@ -84,7 +84,7 @@
 				rq := request(1)
 				rq.Spec.ColdRate, rq.Spec.Engine = share, nil
 				<-begin
-				if fo.chooseService(now, rq) != nil {
+				if fo.chooseService(now, rq, false) != nil {
 					placed.Add(1)
 				}
 			})
