perf: a scheduler predicts only engines that may take a request; first listings are not sent on

Changes: engines are predicted when a request may go there, excluded ones are left out, asks gather for 2 ms; what is excluded is that of the newest ask.

--- a/internal/duty/forwarder/queue.go
+++ b/internal/duty/forwarder/queue.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
@@ -22,10 +23,11 @@
 // item is a request that waits for placement, here or at another entry VM.
 type item struct {
 	id           ml.FlightID
-	rq           *Request             // nil for a request of another entry VM
-	ask          *ml.PlacementRequest // of another entry VM, which this one is to place
-	spec         *ml.ServiceSpec      // of ask
-	askedAt      time.Time            // when the other entry VM last asked; guarded by the queue's mutex
+	rq           *Request                               // nil for a request of another entry VM
+	ask          *ml.PlacementRequest                   // of another entry VM, which this one is to place
+	spec         *ml.ServiceSpec                        // of ask
+	excluded     atomic.Pointer[map[ml.EndpointID]bool] // of ask, as it was asked last
+	askedAt      time.Time                              // when the other entry VM last asked; guarded by the queue's mutex
 	service      ml.ServiceName
 	placerReq    placer.Request
 	waitingSince time.Time
@@ -37,6 +39,21 @@
 	result       chan decision
 }
 
+// exclude sets the endpoints that must not get a request of another entry VM.
+func (it *item) exclude(all []ml.EndpointID) {
+	set := make(map[ml.EndpointID]bool, len(all))
+	for _, id := range all {
+		set[id] = true
+	}
+	it.excluded.Store(&set)
+}
+
+// isExcluded reports whether an endpoint must not get a request of another entry VM.
+func (it *item) isExcluded(id ml.EndpointID) bool {
+	set := it.excluded.Load()
+	return set != nil && (*set)[id]
+}
+
 // isSimulated reports whether another entry VM decides on the request.
 func (it *item) isSimulated() bool { return it.rq == nil && it.ask == nil }
 
@@ -101,14 +118,15 @@
 	return slices.Clone(qu.items)
 }
 
-// renew finds the request of another entry VM with an id, and records that it was asked for
-// again. It returns nil if there is none.
-func (qu *queue) renew(now time.Time, from ml.VMID, id ml.FlightID) *item {
+// renew finds the request of another entry VM that asks for it again, with the endpoints that
+// are excluded by now. It returns nil if there is none.
+func (qu *queue) renew(now time.Time, pr *ml.PlacementRequest) *item {
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
 	for _, it := range qu.items {
-		if it.ask != nil && it.id == id && it.ask.From == from {
+		if it.ask != nil && it.id == pr.ID && it.ask.From == pr.From {
 			it.askedAt = now
+			it.exclude(pr.Excluded)
 			return it
 		}
 	}
--- a/internal/duty/forwarder/schedule.go
+++ b/internal/duty/forwarder/schedule.go
@@ -20,6 +20,9 @@
 	// evaluationShare is the largest part of the time that is spent on evaluations of the
 	// queue while requests wait: the rest is left to those that are under way.
 	evaluationShare = 0.5
+	// gatherDelay is how long requests of other entry VMs gather before the queue is
+	// evaluated.
+	gatherDelay = 2 * time.Millisecond
 	// peerPlacementTimeout is how long a slot is left free for a peer's request
 	// that could be placed. With a longer propagation delay, placements of peers
 	// can't be predicted.
@@ -39,6 +42,9 @@
 		case <-signal:
 		case <-ti.C:
 		}
+		if fo.schedulesOthers() {
+			pacer.Sleep(ctx, gatherDelay)
+		}
 		now := time.Now()
 		fo.schedule(now)
 		if fo.QueueLength() > 0 {
@@ -178,17 +184,30 @@
 	}
 	rs := &roundService{listings: fo.Catalog.Usable(ro.now, name)}
 	for _, li := range rs.listings {
-		ca := fo.candidate(ro.now, li, ro.flights[li.ID])
-		ca.State = predict(ro.now, ca.Flights)
-		rs.candidates = append(rs.candidates, ca)
+		rs.candidates = append(rs.candidates, fo.candidate(ro.now, li, ro.flights[li.ID]))
 	}
 	ro.services[name] = rs
 	return rs
 }
 
-func predict(now time.Time, flights []ml.Flight) *forecaster.EngineState {
-	es := forecaster.Predict(now, flights)
-	return &es
+// candidatesFor returns the endpoints from which a request's is chosen, and their indexes in
+// listings. What is predicted of an endpoint is predicted once in a round, and only if some
+// request may go there.
+func (fo *Forwarder) candidatesFor(ro *round, it *item, rs *roundService) ([]placer.Candidate, []int) {
+	candidates, indexes := make([]placer.Candidate, 0, len(rs.candidates)), make([]int, 0, len(rs.candidates))
+	for i := range rs.candidates {
+		if it.isExcluded(rs.listings[i].ID) {
+			continue
+		}
+		if rs.candidates[i].State == nil {
+			es := forecaster.Predict(ro.now, rs.candidates[i].Flights)
+			rs.candidates[i].State = &es
+		}
+		ca := rs.candidates[i]
+		ca.Blocked = ca.Blocked || fo.mayNotUse(ro.now, it, rs.listings[i])
+		candidates, indexes = append(candidates, ca), append(indexes, i)
+	}
+	return candidates, indexes
 }
 
 // addFlight records a flight that was decided on in this round.
@@ -197,7 +216,7 @@
 	rs := ro.services[name]
 	for i := range rs.candidates {
 		if rs.candidates[i].Endpoint.ID == fl.Endpoint {
-			rs.candidates[i].Flights, rs.candidates[i].State = ro.flights[fl.Endpoint], predict(ro.now, ro.flights[fl.Endpoint])
+			rs.candidates[i].Flights, rs.candidates[i].State = ro.flights[fl.Endpoint], nil
 		}
 	}
 }
@@ -209,10 +228,7 @@
 		return decision{err: errPathsLost}, true
 	}
 	rs := fo.service(ro, it.service)
-	candidates := slices.Clone(rs.candidates)
-	for i := range candidates {
-		candidates[i].Blocked = candidates[i].Blocked || fo.mayNotUse(now, it, rs.listings[i])
-	}
+	candidates, indexes := fo.candidatesFor(ro, it, rs)
 	it.placerReq.IsExact = ro.isExact
 	ch := placer.Choose(now, &it.placerReq, candidates)
 	if it.rq != nil && ch.Refused && ch.Available == 0 {
@@ -232,7 +248,7 @@
 	}
 	pl := &placement{
 		lead: candidates[ch.Lead].Endpoint, waited: now.Sub(it.waitingSince), predictedFirstEvent: ch.FirstEventAt.Sub(now),
-		loss: ch.Loss, value: it.placerReq.Value, usable: ch.Available, cold: rs.listings[ch.Lead].ColdUntil.After(now),
+		loss: ch.Loss, value: it.placerReq.Value, usable: ch.Available, cold: rs.listings[indexes[ch.Lead]].ColdUntil.After(now),
 	}
 	pl.recentSends = fo.Tracker.RecentSends(now, pl.lead.ID)
 	pl.helperMemory = ch.HelperMemory
@@ -250,7 +266,7 @@
 	case it.rq != nil:
 		return fo.rateReached(now, it.rq, li) || slices.Contains(it.rq.triedEndpoints, li.ID)
 	case it.ask != nil:
-		return slices.Contains(it.ask.Excluded, li.ID) || it.spec.ColdRate > 0 && fo.knownRateReached(now, it.spec, li)
+		return it.spec.ColdRate > 0 && fo.knownRateReached(now, it.spec, li)
 	}
 	return false
 }
--- a/internal/duty/forwarder/scheduler.go
+++ b/internal/duty/forwarder/scheduler.go
@@ -170,10 +170,9 @@
 	if pr.IsProbe {
 		return fo.probe(now, &pr, spec)
 	}
-	it := fo.queue.renew(now, pr.From, pr.ID)
+	it := fo.queue.renew(now, &pr)
 	if it == nil {
-		it = newItem(now, pr.QueuedRequest, spec.Engine, pr.Domain)
-		it.ask, it.spec, it.askedAt, it.maxIdleWait, it.result = &pr, spec, now, pr.MaxIdleWait, make(chan decision, 1)
+		it = newAskedItem(now, &pr, spec)
 		if !fo.queue.add(it) {
 			return ml.SharedPlacement{Refusal: "too many requests wait", RetryAfterMs: defaultRetryAfter.Milliseconds()}
 		}
@@ -190,10 +189,24 @@
 	return ml.SharedPlacement{IsWaiting: true}
 }
 
+// newAskedItem returns a request that another entry VM asks this one to place.
+func newAskedItem(now time.Time, pr *ml.PlacementRequest, spec *ml.ServiceSpec) *item {
+	it := newItem(now, pr.QueuedRequest, spec.Engine, pr.Domain)
+	it.ask, it.spec, it.askedAt, it.maxIdleWait, it.result = pr, spec, now, pr.MaxIdleWait, make(chan decision, 1)
+	it.exclude(pr.Excluded)
+	return it
+}
+
+// schedulesOthers reports whether requests of other entry VMs wait to be placed by this one.
+func (fo *Forwarder) schedulesOthers() bool {
+	fo.queue.mu.Lock()
+	defer fo.queue.mu.Unlock()
+	return slices.ContainsFunc(fo.queue.items, func(it *item) bool { return it.ask != nil })
+}
+
 // probe returns where a request could be placed at once, without placing it.
 func (fo *Forwarder) probe(now time.Time, pr *ml.PlacementRequest, spec *ml.ServiceSpec) ml.SharedPlacement {
-	it := newItem(now, pr.QueuedRequest, spec.Engine, pr.Domain)
-	it.ask, it.spec = pr, spec
+	it := newAskedItem(now, pr, spec)
 	ro := fo.newRound(now)
 	ro.isExact = true
 	if fo.couldPlace(ro, it) {
@@ -204,11 +217,7 @@
 
 // couldPlace reports whether an endpoint could take a request at once.
 func (fo *Forwarder) couldPlace(ro *round, it *item) bool {
-	rs := fo.service(ro, it.service)
-	candidates := slices.Clone(rs.candidates)
-	for i := range candidates {
-		candidates[i].Blocked = candidates[i].Blocked || fo.mayNotUse(ro.now, it, rs.listings[i])
-	}
+	candidates, _ := fo.candidatesFor(ro, it, fo.service(ro, it.service))
 	it.placerReq.IsExact = ro.isExact
 	ch := placer.Choose(ro.now, &it.placerReq, candidates)
 	return !ch.Refused && !ch.Wait
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -101,6 +101,15 @@
 	}
 }
 
+// MergeFirstListing applies the first listing of a topic, up to the offset end. Nothing in it
+// is new to the other entry VMs, so that it is not passed to OnStoreRecords.
+func (ca *Cataloger) MergeFirstListing(now time.Time, to ml.TopicName, records []ml.KeyRecord, end ml.Offset) {
+	ca.mergeAll(now, records, fromStore)
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	raise(&ca.readOffsets, map[ml.TopicName]ml.Offset{to: end})
+}
+
 // source is where a record came from.
 type source string
 
