--- a/internal/adapter/exchanger/exchanger_test.go
+++ b/internal/adapter/exchanger/exchanger_test.go
@@ -301,3 +301,18 @@
 		})
 	}
 }
+
+// TestHeadCutAnywhere checks that no part of an answer's head, wherever it ends, passes for an
+// answer, whether its body has a length, chunks or neither.
+func TestHeadCutAnywhere(t *testing.T) {
+	for _, whole := range []string{good, chunked, unknownLength} {
+		head := whole[:strings.Index(whole, "\r\n\r\n")+len("\r\n\r\n")]
+		for n := range len(head) {
+			pe := newPeer(t, head[:n])
+			if body, err := do(&exchanger.Exchanger{}, pe.target(), "/"); err == nil {
+				t.Fatalf("the head %q is taken for an answer with the body %q", head[:n], body)
+			}
+			_ = pe.li.Close()
+		}
+	}
+}
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -105,6 +105,10 @@
 	// Schedulers asks other entry VMs to place requests.
 	Schedulers ml.SchedulerPeers
 
+	// Stopping reports that this process stops so soon that a request which is sent now may be
+	// cut off. Nil means never.
+	Stopping func() bool
+
 	// PropagationDelay returns the mean delay of updates between entry VMs. Nil means none.
 	PropagationDelay func() time.Duration
 
@@ -208,6 +212,9 @@
 		return fo.notPlaced(rq, err)
 	}
 	defer fo.endFlights(pl)
+	if fo.comesTooLate(rq) {
+		return fo.notPlaced(rq, &unplaceableError{reason: "stopping", retryAfter: defaultRetryAfter})
+	}
 	if ve := fo.checkOnce(time.Now(), rq); ve.Blocked != "" || ve.Wait > 0 {
 		return attemptResult{notRun: true, reason: "engines crashed on the request, or on a part of its prompt, meanwhile"}
 	}
@@ -237,6 +244,12 @@
 	return ar
 }
 
+// comesTooLate reports whether a request that has not been sent yet must not be sent any more,
+// since this process stops. One that has been may go on at another endpoint.
+func (fo *Forwarder) comesTooLate(rq *Request) bool {
+	return fo.Stopping != nil && fo.Stopping() && rq.possibleRuns == 0
+}
+
 // notPlaced returns the result of a request that could not be placed, and logs why.
 func (fo *Forwarder) notPlaced(rq *Request, err error) attemptResult {
 	var ue *unplaceableError
