fix: a decision that nobody waits for at that moment is kept for the next call

Cause, found by reading: a request that waits at the scheduler is asked for again every 250 ms. If the scheduler decided between two calls, the decision was lost, the next call placed the request once more, and the flights of the first decision took a slot for a second or more. TestDecidedBetweenCalls, red before. Now a decision stays until it is fetched, and gives its slot back after 0.8 s.

--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -110,7 +110,7 @@
 // deliver sends the decision to a waiting request. If the request was withdrawn
 // concurrently, the flights of its placement are ended.
 func (fo *Forwarder) deliver(it *item, de decision) {
-	if fo.queue.remove(it) {
+	if it.ask != nil && fo.queue.settle(it) || it.ask == nil && fo.queue.remove(it) {
 		fo.Tracker.RemoveWaiting(it.id)
 		it.result <- de
 		return
--- a/internal/duty/forwarder/queue.go
+++ b/internal/duty/forwarder/queue.go
@@ -27,6 +27,7 @@
 	ask          *ml.PlacementRequest                   // of another entry VM, which this one is to place
 	spec         *ml.ServiceSpec                        // of ask
 	excluded     atomic.Pointer[map[ml.EndpointID]bool] // of ask, as it was asked last
+	isDecided    bool                                   // the other entry VM has not fetched the decision yet; guarded by the queue's mutex
 	askedAt      time.Time                              // when the other entry VM last asked; guarded by the queue's mutex
 	service      ml.ServiceName
 	placerReq    placer.Request
@@ -109,13 +110,38 @@
 	return true
 }
 
-// snapshot returns the waiting requests, and drops those that other entry VMs no longer
-// ask for.
-func (qu *queue) snapshot(now time.Time) []*item {
+// snapshot returns the waiting requests. It drops those that other entry VMs no longer ask
+// for, and returns the ones of them on which was decided.
+func (qu *queue) snapshot(now time.Time) (waiting, abandoned []*item) {
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
-	qu.items = slices.DeleteFunc(qu.items, func(it *item) bool { return it.ask != nil && now.Sub(it.askedAt) >= askRetention })
-	return slices.Clone(qu.items)
+	qu.items = slices.DeleteFunc(qu.items, func(it *item) bool {
+		isDropped := it.ask != nil && now.Sub(it.askedAt) >= askRetention
+		switch {
+		case isDropped && it.isDecided:
+			abandoned = append(abandoned, it)
+		case !isDropped && !it.isDecided:
+			waiting = append(waiting, it)
+		}
+		return isDropped
+	})
+	return waiting, abandoned
+}
+
+// settle records that a request of another entry VM is decided on, which stays until that one
+// fetches the decision. It reports whether the request still waited.
+func (qu *queue) settle(it *item) bool {
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	it.isDecided = slices.Contains(qu.items, it)
+	return it.isDecided
+}
+
+// isEmpty reports whether there is neither a waiting request nor an unfetched decision.
+func (qu *queue) isEmpty() bool {
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	return len(qu.items) == 0
 }
 
 // renew finds the request of another entry VM that asks for it again, with the endpoints that
@@ -159,5 +185,11 @@
 func (fo *Forwarder) QueueLength() int {
 	fo.queue.mu.Lock()
 	defer fo.queue.mu.Unlock()
-	return len(fo.queue.items)
+	n := 0
+	for _, it := range fo.queue.items {
+		if !it.isDecided {
+			n++
+		}
+	}
+	return n
 }
--- a/internal/duty/forwarder/schedule.go
+++ b/internal/duty/forwarder/round.go
@@ -47,7 +47,7 @@
 		}
 		now := time.Now()
 		fo.schedule(now)
-		if fo.QueueLength() > 0 {
+		if !fo.queue.isEmpty() {
 			ti.Reset(reevaluateInterval)
 			pacer.Sleep(ctx, time.Duration(float64(time.Since(now))*(1/evaluationShare-1)))
 		}
@@ -60,7 +60,10 @@
 // request that is still not placed after peerPlacementTimeout is skipped, since the peer
 // has other information or has stopped.
 func (fo *Forwarder) schedule(now time.Time) {
-	items := fo.queue.snapshot(now)
+	items, abandoned := fo.queue.snapshot(now)
+	for _, it := range abandoned {
+		fo.Tracker.EndPeerFlights(it.ask.From, it.id)
+	}
 	if len(items) == 0 {
 		return
 	}
--- a/internal/duty/forwarder/scheduler_test.go
+++ b/internal/duty/forwarder/scheduler_test.go
@@ -248,3 +248,36 @@
 	g.Eventually(func() int { return len(sf.all[0].Tracker.Flights(time.Now())["e"]) }, "2s", "5ms").Should(gomega.BeZero())
 	g.Expect(sf.sent[1].Load()).To(gomega.BeZero())
 }
+
+// TestDecidedBetweenCalls guards against a slot that is lost, since the scheduler decides while
+// no call waits for the decision: the next call gets it, and if none comes the slot is free
+// again.
+func TestDecidedBetweenCalls(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	sf := newScheduledFleet(ctx, 2, 2)
+	fo := sf.all[0]
+	for i := range 2 {
+		fo.Tracker.AddPeerFlight(time.Now(), "other", ml.Flight{ID: ml.FlightID(fmt.Sprint("f", i)), Endpoint: "e", SentAt: time.Now(), FirstEventAt: time.Now(), DecodeTime: time.Minute, Value: 1, GapTarget: time.Second})
+	}
+	rq := ml.SharedPlacementRequest{SharedQueuedRequest: ml.SharedQueuedRequest{ID: "vm1-1", Service: "lm", Prompt: 1000, Answer: 100, FirstEventTargetMs: 20_000, FirstEventDeadlineMs: 40_000, GapTargetMs: 1000, Value: 1}, From: "vm1", ReplyWithinMs: 1}
+	flights := func() int { return len(fo.Tracker.Flights(time.Now())["e"]) }
+	for _, comesBack := range []bool{true, false} {
+		g.Expect(fo.OnSchedule(ctx, rq).IsWaiting).To(gomega.BeTrue())
+		fo.Tracker.EndPeerFlights("other", "f0")
+		fo.Wake()
+		g.Eventually(flights, "1s", "2ms").Should(gomega.Equal(2), "decided")
+		if comesBack {
+			sp := fo.OnSchedule(ctx, rq)
+			g.Expect(sp.IsWaiting).To(gomega.BeFalse())
+			g.Expect(sp.Endpoints).To(gomega.HaveLen(1))
+			g.Expect(fo.Tracker.RecentSends(time.Now(), "e")).To(gomega.Equal(3), "placed once")
+			fo.Tracker.AddPeerFlight(time.Now(), "other", ml.Flight{ID: "f0", Endpoint: "e", SentAt: time.Now(), FirstEventAt: time.Now(), DecodeTime: time.Minute, Value: 1, GapTarget: time.Second})
+			fo.Tracker.EndPeerFlights("vm1", "vm1-1")
+			rq.ID = "vm1-2"
+			continue
+		}
+		g.Eventually(flights, askRetention+time.Second, "10ms").Should(gomega.Equal(1), "nobody asked for the decision")
+	}
+}
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -12,7 +12,6 @@
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
-	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
 )
 
 const (
@@ -94,17 +93,6 @@
 	return fo.couldPlace(ro, it)
 }
 
-// probeAt asks a scheduler whether an engine other than the one that has a request could take
-// it at once.
-func (fo *Forwarder) probeAt(address string, it *item, lead ml.EndpointID) bool {
-	now := time.Now()
-	pr := ml.PlacementRequest{QueuedRequest: it.queuedRequest(), From: fo.Self, Domain: fo.Domain, Excluded: append(fo.excluded(now, it.rq), lead), IsProbe: true}
-	ctx, cancel := context.WithTimeout(context.Background(), replyMargin)
-	defer cancel()
-	sp, err := fo.Schedulers.Schedule(ctx, address, tracker.EncodePlacementRequest(now, &pr))
-	return err == nil && sp.Refusal == ""
-}
-
 // resumable reports whether a stream may be resumed at another endpoint.
 func (rq *Request) resumable() bool {
 	return rq.Route.Kind == ml.RouteStream && rq.Route.Resumable && rq.possibleRuns+1 < rq.maxAttempts()
--- a/internal/state/cataloger/digest_test.go
+++ b/internal/state/cataloger/digest_test.go
@@ -78,3 +78,26 @@
 	fresh.Adopt(&older)
 	g.Expect(fresh.ReadOffset("t")).To(gomega.Equal(ml.Offset(20)), "what was read here counts")
 }
+
+// TestRestartLearnsWhatLeft guards against an entry VM that was restarted, learns from another
+// one and uses an endpoint that had left, or a key that had been withdrawn: deletions and
+// states are passed on, and an older configuration that arrives late changes nothing.
+func TestRestartLearnsWhatLeft(t *testing.T) {
+	g := gomega.NewWithT(t)
+	old, restarted := newCataloger(), newCataloger()
+	old.MergeFromStore(start, "t", []ml.KeyRecord{record("config", "1", 0), record("gone", "live@a", 1), record("leaves", "live@a", 2), record("stays", "live@a", 3)}, 4)
+	old.DeleteUnlisted(start, "t", map[string]bool{"config": true, "gone": true, "leaves": true, "stays": true}, 4)
+	old.MergeFromStore(start, "t", []ml.KeyRecord{record("gone", "", 4), record("leaves", "leaving@a", 5), record("config", "2", 6)}, 7)
+	old.RecordDeparture(start, ml.Departure{Endpoint: "stays", Incarnation: "1"})
+
+	reply := old.RecordsFrom(nil)
+	restarted.Merge(start, reply.Records, reply.Covered(nil))
+	for _, de := range old.Departures() {
+		restarted.RecordDeparture(start, de)
+	}
+	g.Expect(restarted.Usable(start, "s")).To(gomega.BeEmpty())
+	g.Expect(restarted.Version()).To(gomega.Equal(ml.Version(2)))
+	restarted.Merge(start, []ml.KeyRecord{record("config", "1", 0), record("gone", "live@a", 1), record("leaves", "live@a", 2)}, nil)
+	g.Expect(restarted.Usable(start, "s")).To(gomega.BeEmpty(), "of a peer that is behind")
+	g.Expect(restarted.Version()).To(gomega.Equal(ml.Version(2)))
+}
