test: the request of TestDecidedBetweenCalls waits by its times

It failed once of six runs under the race detector: the slots were taken for longer than the request could wait, so it was refused if a round came before the slot was freed.

--- a/internal/duty/forwarder/scheduler_test.go
+++ b/internal/duty/forwarder/scheduler_test.go
@@ -259,8 +259,9 @@
 	sf := newScheduledFleet(ctx, 2, 2)
 	fo := sf.all[0]
 	for i := range 2 {
-		fo.Tracker.AddPeerFlight(time.Now(), "other", ml.Flight{ID: ml.FlightID(fmt.Sprint("f", i)), Endpoint: "e", SentAt: time.Now(), FirstEventAt: time.Now(), DecodeTime: time.Minute, Value: 1, GapTarget: time.Second})
+		fo.Tracker.AddPeerFlight(time.Now(), "other", ml.Flight{ID: ml.FlightID(fmt.Sprint("f", i)), Endpoint: "e", SentAt: time.Now(), FirstEventAt: time.Now(), DecodeTime: 10 * time.Second, Value: 1, GapTarget: time.Second})
 	}
+	// It can still be in time when the first slot becomes free, so that it waits.
 	rq := ml.SharedPlacementRequest{SharedQueuedRequest: ml.SharedQueuedRequest{ID: "vm1-1", Service: "lm", Prompt: 1000, Answer: 100, FirstEventTargetMs: 20_000, FirstEventDeadlineMs: 40_000, GapTargetMs: 1000, Value: 1}, From: "vm1", ReplyWithinMs: 1}
 	flights := func() int { return len(fo.Tracker.Flights(time.Now())["e"]) }
 	for _, comesBack := range []bool{true, false} {
@@ -273,7 +274,7 @@
 			g.Expect(sp.IsWaiting).To(gomega.BeFalse())
 			g.Expect(sp.Endpoints).To(gomega.HaveLen(1))
 			g.Expect(fo.Tracker.RecentSends(time.Now(), "e")).To(gomega.Equal(3), "placed once")
-			fo.Tracker.AddPeerFlight(time.Now(), "other", ml.Flight{ID: "f0", Endpoint: "e", SentAt: time.Now(), FirstEventAt: time.Now(), DecodeTime: time.Minute, Value: 1, GapTarget: time.Second})
+			fo.Tracker.AddPeerFlight(time.Now(), "other", ml.Flight{ID: "f0", Endpoint: "e", SentAt: time.Now(), FirstEventAt: time.Now(), DecodeTime: 10 * time.Second, Value: 1, GapTarget: time.Second})
 			fo.Tracker.EndPeerFlights("vm1", "vm1-1")
 			rq.ID = "vm1-2"
 			continue
