--- a/internal/duty/forwarder/scheduler_test.go
+++ b/internal/duty/forwarder/scheduler_test.go
@@ -282,3 +282,25 @@
 		g.Eventually(flights, askRetention+time.Second, "10ms").Should(gomega.Equal(1), "nobody asked for the decision")
 	}
 }
+
+// TestDecisionsWithinShares guards against a cold engine that is flooded by the decisions of
+// schedulers: however many decide, and whatever they know, an entry VM uses no more than its
+// own share of the engine's rate. Both decisions were asked for before the first one came.
+func TestDecisionsWithinShares(t *testing.T) {
+	g := gomega.NewWithT(t)
+	cf := newColdFleet(1, 1, 1)
+	fo, now := cf.all[0], cf.start.Add(time.Minute)
+	fo.ColdOverage, fo.ColdSlack = 1, 0
+	sp := ml.SharedPlacement{Endpoints: []ml.EndpointRef{{ID: "e0"}}}
+	items := []*item{}
+	for range 2 {
+		rq := request(16)
+		rq.Spec.ColdRate = 1
+		items = append(items, fo.newOwnItem(now, rq))
+	}
+	g.Expect(fo.excluded(now, items[1].rq)).To(gomega.BeEmpty())
+	g.Expect(fo.accept(now, items[0], &sp)).NotTo(gomega.BeNil())
+	g.Expect(fo.accept(now, items[1], &sp)).To(gomega.BeNil(), "the share is used")
+	g.Expect(fo.excluded(now, items[1].rq)).To(gomega.ConsistOf(ml.EndpointID("e0")), "so the next scheduler is told")
+	g.Expect(fo.Tracker.Flights(now)["e0"]).To(gomega.HaveLen(1))
+}
