fix: requests are reported to the scheduler in each interval, in a fleet of any size

Cause, found by reading the code anew: the report went with the heartbeat, which an entry VM of the large site sends all others each 3.5 to 3.9 s, while the scheduler drops reports that are not renewed for 3 s. A stream that lasted, with no other request at its entry VM, was forgotten for up to a second each time.

--- a/internal/duty/sharer/scheduler.go
+++ b/internal/duty/sharer/scheduler.go
@@ -98,14 +98,16 @@
 	return changes
 }
 
-// reportState sends all requests of a snapshot to the scheduler, so that it goes on counting
-// them, and returns the rest of the snapshot.
-func (sh *Sharer) reportState(address string, isSelf bool, sm ml.ShareMessage) ml.ShareMessage {
-	if report := requestsIn(sm); !isSelf && hasRequests(&report) {
+// reportState sends all requests of this entry VM to the scheduler, so that it goes on counting
+// them.
+func (sh *Sharer) reportState(now time.Time) {
+	address, isSelf := sh.Scheduler(now)
+	if address == "" || isSelf {
+		return
+	}
+	if report := requestsIn(sh.Tracker.Snapshot(now)); hasRequests(&report) {
 		sh.sendTo(address, report)
 	}
-	sm.Flights, sm.Waiting, sm.Full, sm.Scheduled = nil, nil, false, true
-	return sm
 }
 
 // requestsIn returns the part of a snapshot that is for a scheduler.
--- a/internal/duty/sharer/scheduler_test.go
+++ b/internal/duty/sharer/scheduler_test.go
@@ -108,6 +108,10 @@
 	peers := func() int { return len(fl.nodes[0].Membership(time.Now()).Peers) }
 	g.Eventually(peers).WithTimeout(eventuallyTimeout).Should(gomega.Equal(n/2 - 1))
 	time.Sleep(11 * time.Second) // until they are no newcomers
+	fl.nodes[n-1].Tracker.AddFlight(time.Now(), ml.Flight{ID: "long", Endpoint: "e", SentAt: time.Now()})
+	known := func() int { return len(fl.nodes[0].Tracker.Flights(time.Now())["e"]) }
+	g.Eventually(known).Should(gomega.Equal(1))
+	g.Consistently(known, "5s", "20ms").Should(gomega.Equal(1), "the scheduler knows a request for as long as it lasts")
 	g.Consistently(peers, "6s", "50ms").Should(gomega.Equal(n/2 - 1))
 	g.Consistently(func() map[string]int { return fl.schedulers(0) }, "3s", "50ms").Should(gomega.Equal(map[string]int{"10.0.0.00": n}))
 	g.Expect(fl.countReaders()).To(gomega.Equal(4), "two entry VMs in each of two domains wait at the store")
--- a/internal/duty/sharer/sharer.go
+++ b/internal/duty/sharer/sharer.go
@@ -153,6 +153,7 @@
 	known := sh.liveAddresses(now)
 	interval := min(max(stateInterval, stateIntervalPerMember*time.Duration(len(known))), maxStateInterval)
 	ticks := sh.heartbeatTicks(now, interval)
+	sh.reportState(now)
 	if sh.periodicCount%ticks == 0 {
 		sh.broadcast(now, sh.periodicState(now, time.Duration(ticks)*interval))
 	}
@@ -168,25 +169,22 @@
 }
 
 // periodicState returns the message that is sent periodically so that others know
-// that this entry VM is alive. It holds the full state, in a large fleet only once
-// in fullStateEvery calls.
+// that this entry VM is alive, the next one after an interval. It holds the full state, in a
+// large fleet only once in fullStateEvery calls, and nothing of the requests if a scheduler
+// knows them.
 func (sh *Sharer) periodicState(now time.Time, interval time.Duration) ml.ShareMessage {
 	sh.mu.Lock()
 	large := sh.usesRelays()
 	sh.mu.Unlock()
-	address, isSelf := sh.Scheduler(now)
-	sm := ml.ShareMessage{IntervalMs: interval.Milliseconds(), Scheduled: address != ""}
-	isFull := !large || sh.periodicCount%fullStateEvery == 0 || interval > maxStateInterval
-	if isFull || address != "" {
+	sm := ml.ShareMessage{}
+	if !large || sh.periodicCount%fullStateEvery == 0 || interval > maxStateInterval {
 		sm = sh.Tracker.Snapshot(now)
-		sm.IntervalMs = interval.Milliseconds()
-	}
-	if address != "" {
-		sm = sh.reportState(address, isSelf, sm)
-	}
-	if isFull {
 		sm.Blocked, sm.Departures = sh.Attributor.Blocked(now), sh.Catalog.Departures()
 	}
+	if address, _ := sh.Scheduler(now); address != "" {
+		sm.Flights, sm.Waiting, sm.Full, sm.Scheduled = nil, nil, false, true // the scheduler has them
+	}
+	sm.IntervalMs = interval.Milliseconds()
 	return sm
 }
 
