--- a/internal/duty/forwarder/asker.go
+++ b/internal/duty/forwarder/asker.go
@@ -85,10 +85,8 @@
 
 // ask asks a scheduler to decide on a request within a time.
 func (fo *Forwarder) ask(ctx context.Context, now time.Time, address string, it *item, within time.Duration, excluded []ml.EndpointID) (ml.SharedPlacement, error) {
-	pr := ml.PlacementRequest{
-		QueuedRequest: it.queuedRequest(), From: fo.Self, Domain: fo.Domain, MaxIdleWait: it.maxIdleWait,
-		Excluded: append(fo.excluded(now, it.rq), excluded...),
-	}
+	pr := fo.placementRequest(now, it, excluded)
+	pr.MaxIdleWait = it.maxIdleWait
 	sp := tracker.EncodePlacementRequest(now, &pr)
 	sp.ReplyWithinMs = within.Milliseconds()
 	ctx, cancel := context.WithTimeout(ctx, within+replyMargin)
@@ -96,16 +94,26 @@
 	return fo.Schedulers.Schedule(ctx, address, sp)
 }
 
-// excluded returns the endpoints that must not get a request of this entry VM now, although
-// they may get others.
-func (fo *Forwarder) excluded(now time.Time, rq *Request) []ml.EndpointID {
-	out := slices.Clone(rq.triedEndpoints)
-	for _, li := range fo.Catalog.Usable(now, rq.Service) {
-		if fo.rateReached(now, rq, li) || fo.isPaused(now, li.ListedEndpoint) || fo.Detector.Unreachable(now, li.ID, li.Incarnation) {
-			out = append(out, li.ID)
+// placementRequest returns a request as a scheduler is asked for it. Some endpoints are excluded
+// besides those that this entry VM must not use.
+func (fo *Forwarder) placementRequest(now time.Time, it *item, excluded []ml.EndpointID) ml.PlacementRequest {
+	excluded = append(slices.Clone(excluded), it.rq.triedEndpoints...)
+	pr := ml.PlacementRequest{QueuedRequest: it.queuedRequest(), From: fo.Self, Domain: fo.Domain, Excluded: slices.Clone(excluded)}
+	for _, li := range fo.Catalog.Usable(now, it.rq.Service) {
+		switch {
+		case slices.Contains(excluded, li.ID):
+		case fo.rateReached(now, it.rq, li) || fo.isPaused(now, li.ListedEndpoint) || fo.Detector.Unreachable(now, li.ID, li.Incarnation):
+			pr.Excluded = append(pr.Excluded, li.ID)
+		default:
+			pr.Allowed = append(pr.Allowed, li.ID)
 		}
 	}
-	return out
+	if len(pr.Allowed) > 0 && len(pr.Allowed) < len(pr.Excluded) {
+		pr.Excluded = nil
+		return pr
+	}
+	pr.Allowed = nil
+	return pr
 }
 
 // refusedBy returns the error for a request that a scheduler has refused.
@@ -151,7 +159,8 @@
 // it at once.
 func (fo *Forwarder) probeAt(address string, it *item, lead ml.EndpointID) bool {
 	now := time.Now()
-	pr := ml.PlacementRequest{QueuedRequest: it.queuedRequest(), From: fo.Self, Domain: fo.Domain, Excluded: append(fo.excluded(now, it.rq), lead), IsProbe: true}
+	pr := fo.placementRequest(now, it, []ml.EndpointID{lead})
+	pr.IsProbe = true
 	ctx, cancel := context.WithTimeout(context.Background(), replyMargin)
 	defer cancel()
 	sp, err := fo.Schedulers.Schedule(ctx, address, tracker.EncodePlacementRequest(now, &pr))
--- a/internal/duty/forwarder/queue.go
+++ b/internal/duty/forwarder/queue.go
@@ -23,12 +23,12 @@
 // item is a request that waits for placement, here or at another entry VM.
 type item struct {
 	id           ml.FlightID
-	rq           *Request                               // nil for a request of another entry VM
-	ask          *ml.PlacementRequest                   // of another entry VM, which this one is to place
-	spec         *ml.ServiceSpec                        // of ask
-	excluded     atomic.Pointer[map[ml.EndpointID]bool] // of ask, as it was asked last
-	isDecided    bool                                   // the other entry VM has not fetched the decision yet; guarded by the queue's mutex
-	askedAt      time.Time                              // when the other entry VM last asked; guarded by the queue's mutex
+	rq           *Request                  // nil for a request of another entry VM
+	ask          *ml.PlacementRequest      // of another entry VM, which this one is to place
+	spec         *ml.ServiceSpec           // of ask
+	exclusion    atomic.Pointer[exclusion] // of ask, as it was asked last
+	isDecided    bool                      // the other entry VM has not fetched the decision yet; guarded by the queue's mutex
+	askedAt      time.Time                 // when the other entry VM last asked; guarded by the queue's mutex
 	service      ml.ServiceName
 	placerReq    placer.Request
 	waitingSince time.Time
@@ -41,18 +41,29 @@
 }
 
 // exclude sets the endpoints that must not get a request of another entry VM.
-func (it *item) exclude(all []ml.EndpointID) {
-	set := make(map[ml.EndpointID]bool, len(all))
-	for _, id := range all {
-		set[id] = true
+func (it *item) exclude(pr *ml.PlacementRequest) {
+	named, isAllowed := pr.Excluded, len(pr.Allowed) > 0
+	if isAllowed {
+		named = pr.Allowed
 	}
-	it.excluded.Store(&set)
+	ex := &exclusion{named: make(map[ml.EndpointID]bool, len(named)), isAllowed: isAllowed}
+	for _, id := range named {
+		ex.named[id] = true
+	}
+	it.exclusion.Store(ex)
 }
 
 // isExcluded reports whether an endpoint must not get a request of another entry VM.
 func (it *item) isExcluded(id ml.EndpointID) bool {
-	set := it.excluded.Load()
-	return set != nil && (*set)[id]
+	ex := it.exclusion.Load()
+	return ex != nil && ex.named[id] != ex.isAllowed
+}
+
+// exclusion tells which endpoints a request must not get: those that are named or, if these
+// are the allowed ones, all others.
+type exclusion struct {
+	named     map[ml.EndpointID]bool
+	isAllowed bool
 }
 
 // isSimulated reports whether another entry VM decides on the request.
@@ -152,7 +163,7 @@
 	for _, it := range qu.items {
 		if it.ask != nil && it.id == pr.ID && it.ask.From == pr.From {
 			it.askedAt = now
-			it.exclude(pr.Excluded)
+			it.exclude(pr)
 			return it
 		}
 	}
--- a/internal/duty/forwarder/scheduler_test.go
+++ b/internal/duty/forwarder/scheduler_test.go
@@ -298,9 +298,35 @@
 		rq.Spec.ColdRate = 1
 		items = append(items, fo.newOwnItem(now, rq))
 	}
-	g.Expect(fo.excluded(now, items[1].rq)).To(gomega.BeEmpty())
+	excluded := func() []ml.EndpointID {
+		pr := fo.placementRequest(now, items[1], nil)
+		return pr.Excluded
+	}
+	g.Expect(excluded()).To(gomega.BeEmpty())
 	g.Expect(fo.accept(now, items[0], &sp)).NotTo(gomega.BeNil())
 	g.Expect(fo.accept(now, items[1], &sp)).To(gomega.BeNil(), "the share is used")
-	g.Expect(fo.excluded(now, items[1].rq)).To(gomega.ConsistOf(ml.EndpointID("e0")), "so the next scheduler is told")
+	g.Expect(excluded()).To(gomega.ConsistOf(ml.EndpointID("e0")), "so the next scheduler is told")
 	g.Expect(fo.Tracker.Flights(now)["e0"]).To(gomega.HaveLen(1))
 }
+
+// TestAskNamesTheFewer checks that an ask names the endpoints that may be used where they are
+// fewer, as in a large fleet, and that both forms mean the same to the scheduler.
+func TestAskNamesTheFewer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, used := range []int{0, 3, 17, 20} {
+		cf := newColdFleet(1, 1, 20)
+		fo, now := cf.all[0], cf.start.Add(time.Minute)
+		fo.ColdOverage, fo.ColdSlack = 1, 0
+		rq := request(16)
+		rq.Spec.ColdRate = 1
+		for i := range used {
+			fo.Tracker.AddFlight(now, ml.Flight{ID: ml.FlightID(fmt.Sprint("f", i)), Endpoint: cf.engines[i], SentAt: now})
+		}
+		pr := fo.placementRequest(now, fo.newOwnItem(now, rq), nil)
+		g.Expect(len(pr.Excluded) + len(pr.Allowed)).To(gomega.Equal(map[int]int{0: 0, 3: 3, 17: 3, 20: 20}[used]))
+		it := newAskedItem(now, &pr, rq.Spec)
+		for i, id := range cf.engines {
+			g.Expect(it.isExcluded(id)).To(gomega.Equal(i < used))
+		}
+	}
+}
--- a/internal/state/tracker/shared.go
+++ b/internal/state/tracker/shared.go
@@ -54,7 +54,7 @@
 // EncodePlacementRequest returns a request to a scheduler as it is sent.
 func EncodePlacementRequest(now time.Time, pr *ml.PlacementRequest) ml.SharedPlacementRequest {
 	return ml.SharedPlacementRequest{
-		SharedQueuedRequest: encodeWaiting(now, pr.QueuedRequest), From: pr.From, Domain: pr.Domain, Excluded: pr.Excluded,
+		SharedQueuedRequest: encodeWaiting(now, pr.QueuedRequest), From: pr.From, Domain: pr.Domain, Excluded: pr.Excluded, Allowed: pr.Allowed,
 		MaxIdleWaitMs: pr.MaxIdleWait.Milliseconds(), IsProbe: pr.IsProbe,
 	}
 }
@@ -62,7 +62,7 @@
 // DecodePlacementRequest returns a request to a scheduler, with its times relative to now.
 func DecodePlacementRequest(now time.Time, sp *ml.SharedPlacementRequest) ml.PlacementRequest {
 	return ml.PlacementRequest{
-		QueuedRequest: decodeWaiting(now, sp.SharedQueuedRequest), From: sp.From, Domain: sp.Domain, Excluded: sp.Excluded,
+		QueuedRequest: decodeWaiting(now, sp.SharedQueuedRequest), From: sp.From, Domain: sp.Domain, Excluded: sp.Excluded, Allowed: sp.Allowed,
 		MaxIdleWait: time.Duration(sp.MaxIdleWaitMs) * time.Millisecond, IsProbe: sp.IsProbe,
 	}
 }
--- a/scheduling.go
+++ b/scheduling.go
@@ -10,8 +10,9 @@
 	QueuedRequest
 	From   VMID     // the entry VM that asks
 	Domain DomainID // its failure domain
-	// Excluded holds the endpoints that must not get the request from that entry VM.
-	Excluded []EndpointID
+	// Excluded holds the endpoints that must not get the request from that entry VM. If these
+	// are most, Allowed holds the others instead.
+	Excluded, Allowed []EndpointID
 	// MaxIdleWait is how long the request waits while no endpoint can take it at all.
 	MaxIdleWait time.Duration
 	// IsProbe asks only whether an endpoint could take the request at once.
@@ -24,6 +25,7 @@
 	From          VMID         `json:"from"`
 	Domain        DomainID     `json:"d,omitempty"`
 	Excluded      []EndpointID `json:"x,omitempty"`
+	Allowed       []EndpointID `json:"y,omitempty"`
 	MaxIdleWaitMs int64        `json:"w,omitempty"`
 	IsProbe       bool         `json:"t,omitempty"`
 	// ReplyWithinMs is the time after which the scheduler replies that the request waits,
