--- a/internal/duty/forwarder/service.go
+++ b/internal/duty/forwarder/service.go
@@ -11,7 +11,7 @@
 )
 
 // placeService finds an endpoint of a plain service. While there is none, it waits
-// for a part of the objective. Then one that has failed the request before may get it again:
+// for a part of the objective. Then one that has run the request and failed may get it again:
 // when all others are lost, one that fails some requests is better than none.
 func (fo *Forwarder) placeService(ctx context.Context, rq *Request) (*placement, error) {
 	start := time.Now()
@@ -21,7 +21,7 @@
 			return nil, errPathsLost
 		}
 		hasWaited := now.Sub(start) >= rq.Route.Target/noEndpointWaitDivisor
-		if pl := fo.chooseService(now, rq, hasWaited); pl != nil {
+		if pl := fo.chooseService(now, rq, hasWaited && rq.possibleRuns > 0); pl != nil {
 			pl.waited = now.Sub(start)
 			return pl, nil
 		}
