--- a/internal/adapter/messenger/messenger.go
+++ b/internal/adapter/messenger/messenger.go
@@ -129,9 +129,16 @@
 	me.mu.Lock()
 	defer me.mu.Unlock()
 	for _, pe := range me.peers {
-		if pe.conn != nil {
-			_ = pe.conn.Close()
-		}
+		pe.close()
+	}
+}
+
+// close closes the connection to an address, if it is open.
+func (pe *peer) close() {
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	if pe.conn != nil {
+		_ = pe.conn.Close()
 	}
 }
 
