--- a/exchange.go
+++ b/exchange.go
@@ -172,6 +172,7 @@
 	Failed         []EndpointID          `json:"failed,omitempty"`     // endpoints that failed a request
 	FailedRuns     []EndpointID          `json:"failedRuns,omitempty"` // of a scheduler, those that failed one that they had received
 	Records        []KeyRecord           `json:"records,omitempty"`    // changed records of the platform's store
+	HasRead        bool                  `json:"hasRead,omitempty"`    // the sender has just read the store, and can be asked what is newest
 	Limits         []SharedLimit         `json:"limits,omitempty"`     // stated by endpoints
 	Departures     []Departure           `json:"departures,omitempty"`
 	Crashes        []SharedCrash         `json:"crashes,omitempty"`
@@ -323,18 +324,29 @@
 	OnRecords(from map[TopicName]Offset) RecordsReply
 }
 
-// Confirmation is what an entry VM that reads the store says of a topic.
+// Confirmation is what an entry VM says of a topic, by its own reads of the store or by the word
+// of others that have read it.
 type Confirmation struct {
 	Digest CatalogDigest `json:"digest"` // of all that the store had acknowledged AgeMs ago, or of more
 	AgeMs  int64         `json:"ageMs"`
 }
 
-// ConfirmPeers asks an entry VM that reads the store how new its knowledge of a topic is.
+// Age returns the time since at by the clock that shows more: the steady clock doesn't count
+// the time for which the VM was suspended, and the time of day may have been set back.
+func Age(now, at time.Time) time.Duration {
+	return max(now.Sub(at), now.Round(0).Sub(at.Round(0)))
+}
+
+// ConfirmPeers asks other entry VMs how new their knowledge of the store is.
 type ConfirmPeers interface {
+	// Confirm has an entry VM that reads the store confirm a topic. It may read it for that.
 	Confirm(ctx context.Context, address string, to TopicName) (Confirmation, error)
+	// Confirmations returns what an entry VM has confirmed of each topic until now.
+	Confirmations(ctx context.Context, address string) (map[TopicName]Confirmation, error)
 }
 
 // ConfirmHandler handles requests of ConfirmPeers.
 type ConfirmHandler interface {
 	OnConfirm(ctx context.Context, to TopicName) (Confirmation, error)
+	OnConfirmations() map[TopicName]Confirmation
 }
--- a/internal/adapter/messenger/messenger.go
+++ b/internal/adapter/messenger/messenger.go
@@ -33,6 +33,7 @@
 	methodBareRecords = "records"
 	methodSchedule    = "schedule"
 	methodConfirm     = "confirm"
+	methodConfirmed   = "confirmations"
 )
 
 const dialTimeout = time.Second
@@ -124,6 +125,13 @@
 	return out, err
 }
 
+// Confirmations implements ml.ConfirmPeers.
+func (me *Messenger) Confirmations(ctx context.Context, address string) (map[ml.TopicName]ml.Confirmation, error) {
+	out := map[ml.TopicName]ml.Confirmation{}
+	err := me.call(ctx, address, methodConfirmed, struct{}{}, &out)
+	return out, err
+}
+
 // Close closes all connections.
 func (me *Messenger) Close() {
 	me.mu.Lock()
--- a/internal/adapter/messenger/server.go
+++ b/internal/adapter/messenger/server.go
@@ -60,6 +60,8 @@
 		if decodeParams(ctx, conn, rq, &to) {
 			go ss.runConfirm(ctx, conn, rq.ID, to)
 		}
+	case ss.ConfirmHandler != nil && rq.Method == methodConfirmed:
+		_ = conn.Reply(ctx, rq.ID, ss.ConfirmHandler.OnConfirmations())
 	case ss.PeerHandler != nil:
 		ss.handlePeer(ctx, conn, rq)
 	default:
--- a/internal/adapter/messenger/share_test.go
+++ b/internal/adapter/messenger/share_test.go
@@ -96,6 +96,10 @@
 	return ml.Confirmation{Digest: 1<<63 + 1, AgeMs: 5}, nil
 }
 
+func (confirmHandler) OnConfirmations() map[ml.TopicName]ml.Confirmation {
+	return map[ml.TopicName]ml.Confirmation{"t": {Digest: 1<<63 + 3, AgeMs: 7}, "u": {}}
+}
+
 // TestSchedule checks that requests to a scheduler arrive unchanged, that one that waits for a
 // decision does not hold up others on the same connection, and that an entry VM that does not
 // schedule says so.
@@ -132,9 +136,15 @@
 	_, err = me.Confirm(ctx, li.Addr().String(), "other")
 	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("another topic")))
 
+	confirmations, err := me.Confirmations(ctx, li.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(confirmations).To(gomega.Equal(confirmHandler{}.OnConfirmations()))
+
 	address, _ := serve(t)
 	_, err = me.Schedule(ctx, address, rq)
 	g.Expect(err).To(gomega.HaveOccurred())
+	_, err = me.Confirmations(ctx, address)
+	g.Expect(err).To(gomega.HaveOccurred())
 }
 
 // slowRecords takes its time to reply.
--- a/internal/duty/sharer/relay.go
+++ b/internal/duty/sharer/relay.go
@@ -82,6 +82,13 @@
 // caller must hold sh.mu.
 func (sh *Sharer) usesRelays() bool { return len(sh.members) >= relayThreshold }
 
+// IsLarge reports whether only some of the entry VMs wait for changes at the platform's store.
+func (sh *Sharer) IsLarge() bool {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.usesRelays()
+}
+
 // ReadsStore reports whether this entry VM waits for changes at the platform's
 // store. In a small fleet all entry VMs do, in a large one some in each failure domain.
 func (sh *Sharer) ReadsStore(now time.Time) bool {
--- a/internal/duty/sharer/sharer.go
+++ b/internal/duty/sharer/sharer.go
@@ -68,6 +68,9 @@
 	// VM no longer asks it to place. They may be nil.
 	OnReport    func(now time.Time, answered, failed []ml.EndpointID)
 	OnWithdrawn func(from ml.VMID, ids []ml.FlightID)
+	// OnReader is called when another entry VM says that it has read the store, which this one
+	// doesn't. It may be nil.
+	OnReader func()
 
 	changed       chan struct{} // there are changes to send
 	batchReady    chan struct{} // there are messages to relay
@@ -76,6 +79,7 @@
 	unsentRecords []ml.KeyRecord // read from the store, not yet sent
 	batch         []batchedMessage
 	sentCut       []ml.ServiceName // as sent last; used by Run only
+	informant     string           // address of the entry VM to ask what is newest; empty for the reader of the domain
 	periodicCount int              // periodic messages built so far; used by Run only
 	reportsTo     string           // address of the scheduler that knows the requests; used by Run only
 	fetching      atomic.Bool      // records are being fetched from a member
@@ -268,6 +272,9 @@
 	if len(sm.Records) > 0 {
 		sh.Catalog.Merge(now, sm.Records, nil)
 	}
+	if sm.HasRead {
+		sh.setInformant(sm.Address)
+	}
 	if cleared := sh.Attributor.ApplyPeerUpdate(now.Add(-time.Duration(sm.AgeMs)*time.Millisecond), sm); len(cleared) > 0 {
 		sh.ShareCleared(cleared)
 	}
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -69,7 +69,7 @@
 	endpoints       map[ml.EndpointID]Listing
 	storeFailedAt   time.Time                  // when the store last failed to answer
 	readAt          map[ml.TopicName]time.Time // when the store last answered a read of a topic
-	confirmedAt     map[ml.TopicName]time.Time // when the newest read of a topic that was answered was sent
+	confirmedAt     map[ml.TopicName]time.Time // up to which all that the store had acknowledged is applied
 	reusedAddresses map[ml.EndpointID]ml.Incarnation
 	departures      map[ml.Departure]time.Time // when they became known
 	digests         map[ml.TopicName]ml.CatalogDigest
@@ -221,17 +221,17 @@
 	}
 }
 
-// RecordRead records that the store has answered a read of a topic that was sent at
-// sentAt, and that its records are applied.
-func (ca *Cataloger) RecordRead(now, sentAt time.Time, to ml.TopicName) {
+// RecordRead records that the store has answered a read of a topic, and that all is applied
+// that it had acknowledged by confirmedAt.
+func (ca *Cataloger) RecordRead(now, confirmedAt time.Time, to ml.TopicName) {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
 	if ca.readAt == nil {
 		ca.readAt, ca.confirmedAt = make(map[ml.TopicName]time.Time), make(map[ml.TopicName]time.Time)
 	}
 	ca.readAt[to] = now
-	if sentAt.After(ca.confirmedAt[to]) {
-		ca.confirmedAt[to] = sentAt
+	if confirmedAt.After(ca.confirmedAt[to]) {
+		ca.confirmedAt[to] = confirmedAt
 	}
 }
 
@@ -248,6 +248,25 @@
 	}
 }
 
+// ConfirmedAt returns a time up to which all that the store had acknowledged in a topic is
+// applied. It is zero before the first confirmation.
+func (ca *Cataloger) ConfirmedAt(to ml.TopicName) time.Time {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	return ca.confirmedAt[to]
+}
+
+// Confirmations returns what is confirmed of each topic.
+func (ca *Cataloger) Confirmations(now time.Time) map[ml.TopicName]ml.Confirmation {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	out := make(map[ml.TopicName]ml.Confirmation)
+	for to, at := range ca.confirmedAt {
+		out[to] = ml.Confirmation{Digest: ca.digests[to], AgeMs: ml.Age(now, at).Milliseconds() + 1}
+	}
+	return out
+}
+
 // ConfigConfirmedAt returns a time up to which all configurations that the store had
 // acknowledged in a topic are in force. It is zero before the first read, and while the
 // newest one can't be decoded.
