--- a/internal/adapter/messenger/messenger.go
+++ b/internal/adapter/messenger/messenger.go
@@ -156,8 +156,9 @@
 		return wrap(method, address, err)
 	}
 	err = conn.Call(ctx, method, in, out)
-	if errors.Is(err, jsonrpc2.ErrClosed) || errors.Is(err, context.DeadlineExceeded) && me.DropOnTimeout && method != methodSchedule {
-		me.drop(address, conn) // a call to a scheduler has a short time-out
+	hasShortTimeout := method == methodSchedule || method == methodConfirmed // the peer may only be busy
+	if errors.Is(err, jsonrpc2.ErrClosed) || errors.Is(err, context.DeadlineExceeded) && me.DropOnTimeout && !hasShortTimeout {
+		me.drop(address, conn)
 	}
 	if err != nil {
 		return wrap(method, address, err)
--- a/internal/duty/asker/asker.go
+++ b/internal/duty/asker/asker.go
@@ -16,8 +16,9 @@
 type Asker struct {
 	// Interval is the time between two questions. At 0 nothing is asked.
 	Interval time.Duration
-	// IsKnown reports whether this entry VM's own reads of the store suffice.
-	IsKnown func(now time.Time) bool
+	// NeedsNothing reports whether nothing has to be asked, since this entry VM reads the store
+	// itself.
+	NeedsNothing func(now time.Time) bool
 	// Informant returns the address of the entry VM to ask. The second result is false if
 	// there is none.
 	Informant func(now time.Time) (string, bool)
@@ -51,7 +52,7 @@
 	}
 	for ctx.Err() == nil {
 		pause := as.Interval
-		if !as.IsKnown(time.Now()) && !as.ask(ctx) {
+		if !as.NeedsNothing(time.Now()) && !as.ask(ctx) {
 			pause /= 2 // another one is asked next
 		}
 		as.wait(ctx, pause)
--- a/internal/duty/asker/asker_test.go
+++ b/internal/duty/asker/asker_test.go
@@ -20,19 +20,19 @@
 
 // peers are the other entry VMs, of which one is asked.
 type peers struct {
-	mu      sync.Mutex
-	asked   string
-	fails   map[string]bool
-	asks    map[string]int
-	isKnown bool
+	mu           sync.Mutex
+	asked        string
+	fails        map[string]bool
+	asks         map[string]int
+	needsNothing bool
 }
 
 func (pe *peers) start(ctx context.Context) *asker.Asker {
 	as := asker.New()
 	as.Interval, as.Log = interval, slog.New(slog.DiscardHandler)
-	as.IsKnown = func(time.Time) bool {
+	as.NeedsNothing = func(time.Time) bool {
 		defer pe.lock()()
-		return pe.isKnown
+		return pe.needsNothing
 	}
 	as.Informant = func(time.Time) (string, bool) {
 		defer pe.lock()()
@@ -91,11 +91,11 @@
 		g.Expect(pe.count("other")).To(gomega.BeNumerically(">=", 1))
 		before := pe.count("other")
 
-		pe.set(func() { pe.isKnown = true })
+		pe.set(func() { pe.needsNothing = true })
 		time.Sleep(10 * interval)
 		g.Expect(pe.count("other")).To(gomega.BeNumerically("<=", before+1), "own reads suffice")
 
-		pe.set(func() { pe.isKnown = false })
+		pe.set(func() { pe.needsNothing = false })
 		time.Sleep(interval)
 		before = pe.count("other")
 		as.Wake()
