--- a/internal/duty/renewer/renewer_test.go
+++ b/internal/duty/renewer/renewer_test.go
@@ -51,10 +51,19 @@
 	if isAway {
 		return errAway
 	}
-	st.set(func() { st.confirmedAt = sentAt })
+	st.confirm(sentAt)
 	return nil
 }
 
+// confirm records a confirmation, unless a newer one is known.
+func (st *store) confirm(at time.Time) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if at.After(st.confirmedAt) {
+		st.confirmedAt = at
+	}
+}
+
 // begin counts a read and reports whether it will fail.
 func (st *store) begin() bool {
 	st.mu.Lock()
@@ -108,7 +117,7 @@
 						st.set(func() { st.isAway = false })
 					}
 				case 2: // by another entry VM
-					st.set(func() { st.confirmedAt = time.Now().Add(-100 * time.Millisecond) })
+					st.confirm(time.Now().Add(-100 * time.Millisecond))
 				}
 				for end := time.Now().Add(time.Duration(pauses[i]) * time.Millisecond); time.Now().Before(end); {
 					time.Sleep(10 * time.Millisecond)
@@ -135,7 +144,7 @@
 			st.start(ctx)
 			for range minute {
 				time.Sleep(time.Second)
-				st.set(func() { st.confirmedAt = time.Now().Add(-400 * time.Millisecond) })
+				st.confirm(time.Now().Add(-400 * time.Millisecond))
 			}
 			st.set(func() { g.Expect(st.reads).To(gomega.BeZero()) })
 		})
