--- a/internal/duty/asker/asker.go
+++ b/internal/duty/inquirer/inquirer.go
@@ -1,7 +1,7 @@
-// Package asker asks other entry VMs how new the records of the platform's store are that they
+// Package inquirer asks other entry VMs how new the records of the platform's store are that they
 // know. Their word counts only from their own read of the store on, by the clock of the one
 // that asks, so that neither a delayed message nor a frozen sender makes old records look new.
-package asker
+package inquirer
 
 import (
 	"context"
@@ -9,16 +9,15 @@
 	"time"
 )
 
-// askTimeout bounds one question.
-const askTimeout = 120 * time.Millisecond
+// questionTimeout bounds one question.
+const questionTimeout = 120 * time.Millisecond
 
-// Asker asks one other entry VM at an interval. Its exported fields must be set before Run.
-type Asker struct {
+// Inquirer asks one other entry VM at an interval. Its exported fields must be set before Run.
+type Inquirer struct {
 	// Interval is the time between two questions. At 0 nothing is asked.
 	Interval time.Duration
-	// NeedsNothing reports whether nothing has to be asked, since this entry VM reads the store
-	// itself.
-	NeedsNothing func(now time.Time) bool
+	// HasNothingToAsk reports whether no question is needed now.
+	HasNothingToAsk func(now time.Time) bool
 	// Informant returns the address of the entry VM to ask. The second result is false if
 	// there is none.
 	Informant func(now time.Time) (string, bool)
@@ -33,59 +32,59 @@
 	failing bool // the last question has failed; used by Run only
 }
 
-// New returns an asker. Wake may be called before Run.
-func New() *Asker { return &Asker{wake: make(chan struct{}, 1)} }
+// New returns an inquirer. Wake may be called before Run.
+func New() *Inquirer { return &Inquirer{wake: make(chan struct{}, 1)} }
 
 // Wake makes Run ask at once.
-func (as *Asker) Wake() {
+func (iq *Inquirer) Wake() {
 	select {
-	case as.wake <- struct{}{}:
+	case iq.wake <- struct{}{}:
 	default:
 	}
 }
 
 // Run asks until ctx ends.
-func (as *Asker) Run(ctx context.Context) error {
-	if as.Interval <= 0 {
+func (iq *Inquirer) Run(ctx context.Context) error {
+	if iq.Interval <= 0 {
 		<-ctx.Done()
 		return ctx.Err()
 	}
 	for ctx.Err() == nil {
-		pause := as.Interval
-		if !as.NeedsNothing(time.Now()) && !as.ask(ctx) {
+		pause := iq.Interval
+		if !iq.HasNothingToAsk(time.Now()) && !iq.ask(ctx) {
 			pause /= 2 // another one is asked next
 		}
-		as.wait(ctx, pause)
+		iq.wait(ctx, pause)
 	}
 	return ctx.Err()
 }
 
 // wait waits for a time, or until Wake is called.
-func (as *Asker) wait(ctx context.Context, pause time.Duration) {
+func (iq *Inquirer) wait(ctx context.Context, pause time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, pause)
 	defer cancel()
 	select {
 	case <-ctx.Done():
-	case <-as.wake:
+	case <-iq.wake:
 	}
 }
 
 // ask asks once and reports whether that was of use. It logs when questions begin to fail and
 // when they succeed again.
-func (as *Asker) ask(ctx context.Context) bool {
-	address, found := as.Informant(time.Now())
+func (iq *Inquirer) ask(ctx context.Context) bool {
+	address, found := iq.Informant(time.Now())
 	if !found {
 		return false
 	}
-	askCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	askCtx, cancel := context.WithTimeout(ctx, questionTimeout)
 	defer cancel()
-	err := as.Ask(askCtx, address)
-	if failing := err != nil; failing != as.failing {
-		as.failing = failing
-		as.Log.Info("informant", "address", address, "confirms", !failing, "error", err)
+	err := iq.Ask(askCtx, address)
+	if failing := err != nil; failing != iq.failing {
+		iq.failing = failing
+		iq.Log.Info("informant", "address", address, "confirms", !failing, "error", err)
 	}
 	if err != nil && ctx.Err() == nil {
-		as.Failed(time.Now())
+		iq.Failed(time.Now())
 	}
 	return err == nil
 }
--- a/internal/duty/asker/asker_test.go
+++ b/internal/duty/inquirer/inquirer_test.go
@@ -1,4 +1,4 @@
-package asker_test
+package inquirer_test
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 
 	"github.com/onsi/gomega"
 
-	"github.com/mulberrylever/mulberrylever/internal/duty/asker"
+	"github.com/mulberrylever/mulberrylever/internal/duty/inquirer"
 )
 
 const interval = 700 * time.Millisecond
@@ -20,34 +20,34 @@
 
 // peers are the other entry VMs, of which one is asked.
 type peers struct {
-	mu           sync.Mutex
-	asked        string
-	fails        map[string]bool
-	asks         map[string]int
-	needsNothing bool
+	mu         sync.Mutex
+	asked      string
+	fails      map[string]bool
+	asks       map[string]int
+	hasNothing bool
 }
 
-func (pe *peers) start(ctx context.Context) *asker.Asker {
-	as := asker.New()
-	as.Interval, as.Log = interval, slog.New(slog.DiscardHandler)
-	as.NeedsNothing = func(time.Time) bool {
+func (pe *peers) start(ctx context.Context) *inquirer.Inquirer {
+	iq := inquirer.New()
+	iq.Interval, iq.Log = interval, slog.New(slog.DiscardHandler)
+	iq.HasNothingToAsk = func(time.Time) bool {
 		defer pe.lock()()
-		return pe.needsNothing
+		return pe.hasNothing
 	}
-	as.Informant = func(time.Time) (string, bool) {
+	iq.Informant = func(time.Time) (string, bool) {
 		defer pe.lock()()
 		return pe.asked, pe.asked != ""
 	}
-	as.Failed = func(time.Time) { pe.set(func() { pe.asked = "other" }) }
-	as.Ask = func(ctx context.Context, address string) error {
+	iq.Failed = func(time.Time) { pe.set(func() { pe.asked = "other" }) }
+	iq.Ask = func(ctx context.Context, address string) error {
 		if pe.replies(address) {
 			return nil
 		}
 		<-ctx.Done()
 		return errSilent
 	}
-	go func() { _ = as.Run(ctx) }()
-	return as
+	go func() { _ = iq.Run(ctx) }()
+	return iq
 }
 
 func (pe *peers) lock() (unlock func()) {
@@ -74,14 +74,14 @@
 	return pe.asks[address]
 }
 
-// TestAsker checks how often others are asked, and that another one is when one is silent.
-func TestAsker(t *testing.T) {
+// TestInquirer checks how often others are asked, and that another one is when one is silent.
+func TestInquirer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		pe := &peers{asked: "reader", fails: map[string]bool{}, asks: map[string]int{}}
-		as := pe.start(ctx)
+		iq := pe.start(ctx)
 		time.Sleep(10*interval - time.Millisecond)
 		g.Expect(pe.count("reader")).To(gomega.Equal(10))
 		g.Expect(pe.count("other")).To(gomega.BeZero())
@@ -91,14 +91,14 @@
 		g.Expect(pe.count("other")).To(gomega.BeNumerically(">=", 1))
 		before := pe.count("other")
 
-		pe.set(func() { pe.needsNothing = true })
+		pe.set(func() { pe.hasNothing = true })
 		time.Sleep(10 * interval)
 		g.Expect(pe.count("other")).To(gomega.BeNumerically("<=", before+1), "own reads suffice")
 
-		pe.set(func() { pe.needsNothing = false })
+		pe.set(func() { pe.hasNothing = false })
 		time.Sleep(interval)
 		before = pe.count("other")
-		as.Wake()
+		iq.Wake()
 		synctest.Wait()
 		g.Expect(pe.count("other")).To(gomega.Equal(before+1), "at once")
 	})
