Review case 1: stale configuration after a drill of the store

Cause: nothing reads Store-Era; the catalog drops records whose offset is not above the one that it knows, also after offsets have gone back.

--- /dev/null
+++ b/review/stand/engine.go
@@ -0,0 +1,249 @@
+//go:build review
+
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The figures of the model engines.
+const (
+	modelSlots  = 16
+	modelQueue  = 32
+	modelMemory = 315000
+	eventTokens = 51
+	// A step takes stepTime, stepPerAnswer for each answer that is being written, and
+	// stepPerKiloToken for each thousand tokens of their contexts.
+	stepTime, stepPerAnswer, stepPerKiloToken = 850 * time.Microsecond, 4250 * time.Nanosecond, 2850 * time.Nanosecond
+	// prefillRate is in tokens per second, prefillPairs the time for a million pairs of tokens.
+	prefillRate  = 177000.0
+	prefillPairs = 184 * time.Microsecond
+	// plainWork is the time that the plain services take for a request.
+	plainWork  = 60 * time.Millisecond
+	plainSlots = 6
+)
+
+// Run is a request on which an engine has begun to work.
+type Run struct {
+	Engine, Service, Attempt, Tenant, Path string
+	At                                     time.Time
+}
+
+// Engine is a stand-in for an engine of a service.
+type Engine struct {
+	ID, Service, Zone, Address string
+
+	world   *World
+	born    int64 // Unix milliseconds
+	mu      sync.Mutex
+	beats   int
+	slots   chan struct{} // one entry for each request that runs
+	waiting int
+	context int        // tokens of the prompts and answers that are being written
+	prefill sync.Mutex // prompts are read one after the other
+	runs    []Run
+}
+
+// startEngines starts engines of a service, each on an address of its own.
+func (wo *World) startEngines(service string, n, firstHost int) ([]*Engine, error) {
+	out := []*Engine{}
+	for i := range n {
+		slots := plainSlots
+		if service == serviceModel {
+			slots = modelSlots
+		}
+		en := &Engine{
+			ID: fmt.Sprintf("i-%s-%d", service, i), Service: service, Zone: zones[i%len(zones)], Address: wo.address(fmt.Sprintf("64.%d", firstHost+i), portEngine),
+			world: wo, born: time.Now().UnixMilli(), slots: make(chan struct{}, slots),
+		}
+		if err := wo.serve(en.Address, en); err != nil {
+			return nil, err
+		}
+		en.register()
+		go en.beat()
+		out = append(out, en)
+	}
+	return out, nil
+}
+
+// register writes the engine's entry to the store, and reports whether it was accepted.
+func (en *Engine) register() bool {
+	en.mu.Lock()
+	en.beats++
+	beats := en.beats
+	en.mu.Unlock()
+	value, err := json.Marshal(map[string]any{
+		"service": en.Service, "address": en.Address, "zone": en.Zone, "version": "1", "slots": cap(en.slots), "state": "ready",
+		"coldRemainingMs": 0, "sequence": beats, "born": en.born,
+	})
+	if err != nil {
+		panic(err) // all values can be encoded
+	}
+	_, accepted := en.world.Store.Put("keyed.servers", en.ID, value)
+	return accepted
+}
+
+// beat renews the entry. While the store is away, it tries again soon.
+func (en *Engine) beat() {
+	const retryTime = 100 * time.Millisecond
+	for {
+		pause := heartbeat
+		if !en.register() {
+			pause = retryTime
+		}
+		time.Sleep(pause)
+	}
+}
+
+// Runs returns the requests that the engine has run.
+func (en *Engine) Runs() []Run {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return append([]Run(nil), en.runs...)
+}
+
+// ServeHTTP implements http.Handler.
+func (en *Engine) ServeHTTP(wr http.ResponseWriter, hr *http.Request) {
+	if _, err := io.ReadAll(hr.Body); err != nil {
+		panic(http.ErrAbortHandler) // the request is not whole
+	}
+	he := wr.Header()
+	he.Set("X-Mulberrylever-Instance-Id", en.ID)
+	if target := hr.Header.Get("X-Mulberrylever-Target-Instance"); target != "" && target != en.ID {
+		he.Set("X-Mulberrylever-Attempt-Id", hr.Header.Get("X-Mulberrylever-Attempt-Id"))
+		he.Set("X-Mulberrylever-Not-Executed", "1")
+		wr.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch {
+	case hr.URL.Path == "/health":
+	case hr.URL.Path == "/order":
+		reply(wr, map[string]int{"free": modelMemory})
+	case hr.Header.Get("X-Mulberrylever-Attempt-Id") == "":
+		he.Set("X-Mulberrylever-Not-Executed", "1")
+		wr.WriteHeader(http.StatusBadRequest)
+	default:
+		en.serve(wr, hr)
+	}
+}
+
+// serve takes a request into a slot, lets it wait for one, or turns it away.
+func (en *Engine) serve(wr http.ResponseWriter, hr *http.Request) {
+	he, attempt := wr.Header(), hr.Header.Get("X-Mulberrylever-Attempt-Id")
+	he.Set("X-Mulberrylever-Attempt-Id", attempt)
+	limit, err := strconv.Atoi(hr.Header.Get("X-Mulberrylever-Deadline-Ms"))
+	if err != nil {
+		limit = 60_000
+	}
+	deadline := time.After(time.Duration(limit) * time.Millisecond)
+	if !en.enter(hr, deadline) {
+		en.world.record("engine %s: turned %s away", en.ID, attempt)
+		he.Set("X-Mulberrylever-Not-Executed", "1")
+		wr.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-en.slots }()
+	en.mu.Lock()
+	en.runs = append(en.runs, Run{en.ID, en.Service, attempt, hr.Header.Get("X-Mulberrylever-Tenant"), hr.URL.Path, time.Now()})
+	en.mu.Unlock()
+	en.world.record("engine %s: runs %s for tenant %s, path %s", en.ID, attempt, hr.Header.Get("X-Mulberrylever-Tenant"), hr.URL.Path)
+	he.Set("X-Mulberrylever-Response-Seal", "3e1b.07."+attempt)
+	he.Set("X-Mulberrylever-Server-Load", fmt.Sprintf("%d,%d,%d", len(en.slots), en.waiting, cap(en.slots)))
+	if en.Service == serviceModel {
+		en.stream(wr, hr, deadline)
+		return
+	}
+	select {
+	case <-time.After(plainWork):
+		_, _ = io.WriteString(wr, "done by "+en.ID+" for "+attempt)
+	case <-deadline:
+		wr.WriteHeader(http.StatusGatewayTimeout)
+	case <-hr.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// enter waits for a slot, and reports whether the request has one.
+func (en *Engine) enter(hr *http.Request, deadline <-chan time.Time) bool {
+	select {
+	case en.slots <- struct{}{}:
+		return true
+	default:
+	}
+	en.mu.Lock()
+	isFull := en.waiting >= modelQueue
+	if !isFull {
+		en.waiting++
+	}
+	en.mu.Unlock()
+	if isFull {
+		return false
+	}
+	defer func() {
+		en.mu.Lock()
+		en.waiting--
+		en.mu.Unlock()
+	}()
+	select {
+	case en.slots <- struct{}{}:
+		return true
+	case <-deadline:
+	case <-hr.Context().Done():
+	}
+	return false
+}
+
+// stream reads the prompt, and sends the answer as events of eventTokens tokens each.
+func (en *Engine) stream(wr http.ResponseWriter, hr *http.Request, deadline <-chan time.Time) {
+	promptText, answerText, _ := strings.Cut(hr.Header.Get("X-Mulberrylever-Token-Usage"), ",")
+	prompt, _ := strconv.Atoi(promptText) // none is 0
+	answer, _ := strconv.Atoi(answerText)
+	last, _ := strconv.Atoi(hr.Header.Get("Last-Event-Id"))
+	parts, written := 1, 0
+	if helpers := hr.Header.Get("X-Mulberrylever-Helpers"); helpers != "" {
+		parts += len(strings.Split(helpers, ","))
+	}
+	n := float64(prompt)
+	reading := time.Duration((n/prefillRate*float64(time.Second) + n*n/2/1e6*float64(prefillPairs)) / float64(parts))
+	en.prefill.Lock()
+	time.Sleep(reading)
+	en.prefill.Unlock()
+	en.addContext(prompt)
+	defer func() { en.addContext(-prompt - written) }()
+	wr.Header().Set("Content-Type", "text/event-stream")
+	for i := last + 1; (i-1)*eventTokens < answer; i++ {
+		select {
+		case <-time.After(eventTokens * en.step()):
+		case <-deadline:
+			panic(http.ErrAbortHandler)
+		case <-hr.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+		written += eventTokens
+		en.addContext(eventTokens)
+		fmt.Fprintf(wr, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", 40))
+		if http.NewResponseController(wr).Flush() != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func (en *Engine) addContext(tokens int) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.context += tokens
+}
+
+// step returns the time in which each answer gets one more token.
+func (en *Engine) step() time.Duration {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return stepTime + time.Duration(len(en.slots))*stepPerAnswer + time.Duration(en.context/1000)*stepPerKiloToken
+}
