--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -36,9 +36,18 @@
 	At                                     time.Time
 }
 
+// ticket is memory that is set aside at an engine.
+type ticket struct {
+	tokens  int
+	expires time.Time
+	users   []string // attempts that use it
+}
+
 // Engine is a stand-in for an engine of a service.
 type Engine struct {
 	ID, Service, Zone, Address string
+	// KeepsWorking means that the engine does not drop a request when its connection closes.
+	KeepsWorking bool
 
 	world   *World
 	born    int64 // Unix milliseconds
@@ -46,7 +55,9 @@
 	beats   int
 	slots   chan struct{} // one entry for each request that runs
 	waiting int
-	context int        // tokens of the prompts and answers that are being written
+	context int // tokens of the prompts and answers that are being written
+	tickets map[string]*ticket
+	shared  []string   // what happened when two requests used one ticket at the same time
 	prefill sync.Mutex // prompts are read one after the other
 	runs    []Run
 }
@@ -61,11 +72,17 @@
 		}
 		en := &Engine{
 			ID: fmt.Sprintf("i-%s-%d", service, i), Service: service, Zone: zones[i%len(zones)], Address: wo.address(fmt.Sprintf("64.%d", firstHost+i), portEngine),
-			world: wo, born: time.Now().UnixMilli(), slots: make(chan struct{}, slots),
+			world: wo, born: time.Now().UnixMilli(), slots: make(chan struct{}, slots), tickets: make(map[string]*ticket),
 		}
 		if err := wo.serve(en.Address, en); err != nil {
 			return nil, err
 		}
+		wo.mu.Lock()
+		if wo.engines == nil {
+			wo.engines = make(map[string]*Engine)
+		}
+		wo.engines[en.Address] = en
+		wo.mu.Unlock()
 		en.register()
 		go en.beat()
 		out = append(out, en)
@@ -111,7 +128,8 @@
 
 // ServeHTTP implements http.Handler.
 func (en *Engine) ServeHTTP(wr http.ResponseWriter, hr *http.Request) {
-	if _, err := io.ReadAll(hr.Body); err != nil {
+	body, err := io.ReadAll(hr.Body)
+	if err != nil {
 		panic(http.ErrAbortHandler) // the request is not whole
 	}
 	he := wr.Header()
@@ -125,7 +143,7 @@
 	switch {
 	case hr.URL.Path == "/health":
 	case hr.URL.Path == "/order":
-		reply(wr, map[string]int{"free": modelMemory})
+		en.order(wr, body)
 	case hr.Header.Get("X-Mulberrylever-Attempt-Id") == "":
 		he.Set("X-Mulberrylever-Not-Executed", "1")
 		wr.WriteHeader(http.StatusBadRequest)
@@ -206,10 +224,20 @@
 	prompt, _ := strconv.Atoi(promptText) // none is 0
 	answer, _ := strconv.Atoi(answerText)
 	last, _ := strconv.Atoi(hr.Header.Get("Last-Event-Id"))
-	parts, written := 1, 0
-	if helpers := hr.Header.Get("X-Mulberrylever-Helpers"); helpers != "" {
-		parts += len(strings.Split(helpers, ","))
+	attempt, written := hr.Header.Get("X-Mulberrylever-Attempt-Id"), 0
+	helpers, found := en.useTickets(attempt, hr.Header.Get("X-Mulberrylever-Helpers"))
+	defer helpers.leave(attempt)
+	if !found {
+		wr.Header().Del("X-Mulberrylever-Response-Seal")
+		wr.Header().Set("X-Mulberrylever-Not-Executed", "1")
+		wr.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	left := hr.Context().Done()
+	if en.KeepsWorking {
+		left = nil
 	}
+	parts := 1 + len(helpers)
 	n := float64(prompt)
 	reading := time.Duration((n/prefillRate*float64(time.Second) + n*n/2/1e6*float64(prefillPairs)) / float64(parts))
 	en.prefill.Lock()
@@ -223,13 +251,17 @@
 		case <-time.After(eventTokens * en.step()):
 		case <-deadline:
 			panic(http.ErrAbortHandler)
-		case <-hr.Context().Done():
+		case <-left:
+			panic(http.ErrAbortHandler)
+		}
+		if helpers.hasExpired(time.Now()) {
+			en.world.record("engine %s: cuts %s off, its memory has expired", en.ID, attempt)
 			panic(http.ErrAbortHandler)
 		}
 		written += eventTokens
 		en.addContext(eventTokens)
 		fmt.Fprintf(wr, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", 40))
-		if http.NewResponseController(wr).Flush() != nil {
+		if http.NewResponseController(wr).Flush() != nil && !en.KeepsWorking {
 			panic(http.ErrAbortHandler)
 		}
 	}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -46,6 +46,7 @@
 
 	mu      sync.Mutex
 	vms     []*VM
+	engines map[string]*Engine // by address
 	servers []*http.Server
 	closed  bool
 }
