Review case 3: streams at a silent engine given up for one free place

Cause: the timers of all streams of an engine fire together; each gives up its engine if some place is free elsewhere, and none reserves it. Change: a script; the stand-in engines work in passes.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
 for program in target/mulberrylever target/review/stand; do
   [ -x "$program" ] || { echo "not built: $program" >&2; exit 2; }
 done
-exec target/review/stand --case ticket --program target/mulberrylever --record review/3/record.txt
+exec target/review/stand --case silence --program target/mulberrylever --record review/3/record.txt
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -57,8 +57,8 @@
 	waiting int
 	context int // tokens of the prompts and answers that are being written
 	tickets map[string]*ticket
-	shared  []string   // what happened when two requests used one ticket at the same time
-	prefill sync.Mutex // prompts are read one after the other
+	shared  []string // what happened when two requests used one ticket at the same time
+	jobs    []*job   // in order of arrival
 	runs    []Run
 }
 
@@ -71,7 +71,7 @@
 			slots = modelSlots
 		}
 		en := &Engine{
-			ID: fmt.Sprintf("i-%s-%d", service, i), Service: service, Zone: zones[i%len(zones)], Address: wo.address(fmt.Sprintf("64.%d", firstHost+i), portEngine),
+			ID: fmt.Sprintf("i-%s-%d", service, firstHost+i), Service: service, Zone: zones[i%len(zones)], Address: wo.address(fmt.Sprintf("64.%d", firstHost+i), portEngine),
 			world: wo, born: time.Now().UnixMilli(), slots: make(chan struct{}, slots), tickets: make(map[string]*ticket),
 		}
 		if err := wo.serve(en.Address, en); err != nil {
@@ -85,6 +85,9 @@
 		wo.mu.Unlock()
 		en.register()
 		go en.beat()
+		if service == serviceModel {
+			go en.work()
+		}
 		out = append(out, en)
 	}
 	return out, nil
@@ -218,7 +221,7 @@
 	return false
 }
 
-// stream reads the prompt, and sends the answer as events of eventTokens tokens each.
+// stream has the prompt read, and sends the answer as events of eventTokens tokens each.
 func (en *Engine) stream(wr http.ResponseWriter, hr *http.Request, deadline <-chan time.Time) {
 	promptText, answerText, _ := strings.Cut(hr.Header.Get("X-Mulberrylever-Token-Usage"), ",")
 	prompt, _ := strconv.Atoi(promptText) // none is 0
@@ -238,17 +241,15 @@
 		left = nil
 	}
 	parts := 1 + len(helpers)
-	n := float64(prompt)
-	reading := time.Duration((n/prefillRate*float64(time.Second) + n*n/2/1e6*float64(prefillPairs)) / float64(parts))
-	en.prefill.Lock()
-	time.Sleep(reading)
-	en.prefill.Unlock()
+	jo := newJob(prompt, parts)
+	en.addJob(jo)
+	defer en.removeJob(jo)
 	en.addContext(prompt)
 	defer func() { en.addContext(-prompt - written) }()
 	wr.Header().Set("Content-Type", "text/event-stream")
 	for i := last + 1; (i-1)*eventTokens < answer; i++ {
 		select {
-		case <-time.After(eventTokens * en.step()):
+		case <-jo.events:
 		case <-deadline:
 			panic(http.ErrAbortHandler)
 		case <-left:
