fix: positions in the store are ordered by era and offset

Cause: records and positions were ordered by offset alone, which goes back in such a drill; newer records at lower offsets were dropped, and reads went on beyond the topic's end, without a pause. Between two eras what records say goes first (version, start, heartbeat), so that nothing falls back to the copy; what the store has lost is kept for a bounded time. Records of earlier releases, which bear no era, count by what they say alone.

--- a/exchange.go
+++ b/exchange.go
@@ -134,8 +134,12 @@
 	Key    string    `json:"key"`
 	Value  []byte    `json:"value,omitempty"` // nil for a deleted key
 	Offset Offset    `json:"offset"`
+	Era    Era       `json:"era,omitempty"` // of the offset; earlier releases don't say it
 }
 
+// Position returns where the record stands in its topic.
+func (re *KeyRecord) Position() Position { return Position{re.Era, re.Offset} }
+
 // PartRecorder writes records of crashes, and of the parts of prompts that cause them,
 // to the platform's store.
 type PartRecorder interface {
@@ -278,15 +282,15 @@
 	Share(ctx context.Context, address string, em EncodedMessage) (ShareAck, error)
 	// Notify sends a message without acknowledgement.
 	Notify(ctx context.Context, address string, em EncodedMessage) error
-	// Records fetches the records that a peer knows from the given offsets on.
-	Records(ctx context.Context, address string, from map[TopicName]Offset) (RecordsReply, error)
+	// Records fetches the records that a peer knows from the given positions on.
+	Records(ctx context.Context, address string, from map[TopicName]Position) (RecordsReply, error)
 }
 
 // CatalogDigest is a digest of what an entry VM knows of a topic. It is 0 for a topic without
 // keys.
 type CatalogDigest uint64
 
-// RecordsReply holds the records that an entry VM knows from some offsets on.
+// RecordsReply holds the records that an entry VM knows from some positions on.
 type RecordsReply struct {
 	Records []KeyRecord `json:"records"`
 	// NextOffsets are the offsets up to which it knows them, as of the same moment. Entry
@@ -295,15 +299,37 @@
 	// ListedFrom are the offsets from which on it knows deletions too. It has listed the keys
 	// that were left by then.
 	ListedFrom map[TopicName]Offset `json:"listed,omitempty"`
+	// Eras are those of the offsets. Entry VMs of earlier releases don't know them.
+	Eras map[TopicName]Era `json:"eras,omitempty"`
+}
+
+// SetPositions sets the positions up to which the reply holds records, and those from which on
+// it holds deletions too.
+func (rr *RecordsReply) SetPositions(next, listed map[TopicName]Position) {
+	rr.NextOffsets, rr.ListedFrom, rr.Eras = make(map[TopicName]Offset), make(map[TopicName]Offset), make(map[TopicName]Era)
+	for to, po := range next {
+		rr.NextOffsets[to], rr.Eras[to] = po.Offset, po.Era
+	}
+	for to, po := range listed {
+		if po.Era == rr.Eras[to] {
+			rr.ListedFrom[to] = po.Offset
+		}
+	}
+}
+
+// Next returns the position up to which the reply holds what its sender knows of a topic.
+func (rr *RecordsReply) Next(to TopicName) Position {
+	return Position{rr.Eras[to], rr.NextOffsets[to]}
 }
 
-// Covered returns the offsets up to which the reply holds all that has changed since some
-// offsets, deletions included.
-func (rr *RecordsReply) Covered(since map[TopicName]Offset) map[TopicName]Offset {
-	out := make(map[TopicName]Offset)
-	for to, offset := range rr.NextOffsets {
-		if listed, known := rr.ListedFrom[to]; known && listed <= since[to] {
-			out[to] = offset
+// Covered returns the positions up to which the reply holds all that has changed since some
+// positions, deletions included.
+func (rr *RecordsReply) Covered(since map[TopicName]Position) map[TopicName]Position {
+	out := make(map[TopicName]Position)
+	for to := range rr.NextOffsets {
+		listed, known := rr.ListedFrom[to]
+		if known && rr.Eras[to] == since[to].Era && listed <= since[to].Offset {
+			out[to] = rr.Next(to)
 		}
 	}
 	return out
@@ -321,7 +347,7 @@
 // ShareHandler handles messages and requests of SharePeers.
 type ShareHandler interface {
 	OnShare(sm ShareMessage) ShareAck
-	OnRecords(from map[TopicName]Offset) RecordsReply
+	OnRecords(from map[TopicName]Position) RecordsReply
 }
 
 // Confirmation is what an entry VM says of a topic, by its own reads of the store or by the word
--- a/ids.go
+++ b/ids.go
@@ -4,6 +4,7 @@
 package mulberrylever
 
 import (
+	"cmp"
 	"strings"
 	"time"
 )
@@ -89,6 +90,24 @@
 // Offset is a position in the platform's log or in a topic of its store.
 type Offset int64
 
+// Era counts how often the platform's store has come back from an older copy of itself. What
+// it held after that copy is gone, and offsets are given out again. It is 0 for a store that
+// does not state it.
+type Era int64
+
+// Position is a place in a topic of the platform's store: offsets of different eras can't be
+// compared.
+type Position struct {
+	Era    Era    `json:"era,omitempty"`
+	Offset Offset `json:"offset"`
+}
+
+// Compare returns a negative number if the position is before another one, a positive number
+// if it is after it, and 0 if they are the same.
+func (po Position) Compare(other Position) int {
+	return cmp.Or(cmp.Compare(po.Era, other.Era), cmp.Compare(po.Offset, other.Offset))
+}
+
 // FencingNumber is a fencing token that orders the holders of a lease: the
 // offset of the log record that granted the lease.
 type FencingNumber int64
--- a/internal/adapter/messenger/messenger.go
+++ b/internal/adapter/messenger/messenger.go
@@ -27,13 +27,14 @@
 	methodGrantEvents = "tell"
 	methodState       = "state"
 	methodShare       = "share"
-	methodRecords     = "recordsWithOffsets"
-	// methodBareRecords is methodRecords in entry VMs of earlier releases. Its result is
-	// the records alone.
-	methodBareRecords = "records"
-	methodSchedule    = "schedule"
-	methodConfirm     = "confirm"
-	methodConfirmed   = "confirmations"
+	methodRecords     = "recordsFromPositions"
+	// methodOffsetRecords is methodRecords in entry VMs of earlier releases, which know no eras,
+	// and methodBareRecords in still earlier ones. The result of that is the records alone.
+	methodOffsetRecords = "recordsWithOffsets"
+	methodBareRecords   = "records"
+	methodSchedule      = "schedule"
+	methodConfirm       = "confirm"
+	methodConfirmed     = "confirmations"
 )
 
 const dialTimeout = time.Second
@@ -97,16 +98,29 @@
 }
 
 // Records implements ml.SharePeers.
-func (me *Messenger) Records(ctx context.Context, address string, after map[ml.TopicName]ml.Offset) (ml.RecordsReply, error) {
+func (me *Messenger) Records(ctx context.Context, address string, from map[ml.TopicName]ml.Position) (ml.RecordsReply, error) {
 	out := ml.RecordsReply{}
-	err := me.call(ctx, address, methodRecords, after, &out)
-	var re *jsonrpc2.Error
-	if errors.As(err, &re) && re.Code == jsonrpc2.CodeMethodNotFound {
-		err = me.call(ctx, address, methodBareRecords, after, &out.Records)
+	err := me.call(ctx, address, methodRecords, from, &out)
+	if !isMethodUnknown(err) {
+		return out, err
+	}
+	offsets := make(map[ml.TopicName]ml.Offset, len(from))
+	for to, po := range from {
+		offsets[to] = po.Offset
+	}
+	err = me.call(ctx, address, methodOffsetRecords, offsets, &out)
+	if isMethodUnknown(err) {
+		err = me.call(ctx, address, methodBareRecords, offsets, &out.Records)
 	}
 	return out, err
 }
 
+// isMethodUnknown reports whether a call failed since the other entry VM is of an earlier release.
+func isMethodUnknown(err error) bool {
+	var re *jsonrpc2.Error
+	return errors.As(err, &re) && re.Code == jsonrpc2.CodeMethodNotFound
+}
+
 // Schedule implements ml.SchedulerPeers.
 func (me *Messenger) Schedule(ctx context.Context, address string, rq ml.SharedPlacementRequest) (ml.SharedPlacement, error) {
 	sp := ml.SharedPlacement{}
--- a/internal/adapter/messenger/server.go
+++ b/internal/adapter/messenger/server.go
@@ -51,7 +51,7 @@
 // Handle implements jsonrpc2.Handler.
 func (ss *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
 	switch {
-	case ss.ShareHandler != nil && (rq.Method == methodShare || rq.Method == methodRecords || rq.Method == methodBareRecords):
+	case ss.ShareHandler != nil && (rq.Method == methodShare || isRecordsMethod(rq.Method)):
 		ss.handleSharing(ctx, conn, rq)
 	case ss.ScheduleHandler != nil && rq.Method == methodSchedule:
 		ss.handleSchedule(ctx, conn, rq)
@@ -70,17 +70,36 @@
 }
 
 func (ss *session) handleSharing(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
-	switch rq.Method {
-	case methodShare:
+	if rq.Method == methodShare {
 		ss.handleShare(ctx, conn, rq)
-	case methodRecords, methodBareRecords:
-		ss.handleRecords(ctx, conn, rq)
+		return
+	}
+	ss.handleRecords(ctx, conn, rq)
+}
+
+// isRecordsMethod reports whether a method asks for records.
+func isRecordsMethod(method string) bool {
+	return method == methodRecords || method == methodOffsetRecords || method == methodBareRecords
+}
+
+// decodePositions decodes the positions from which on records are asked for. Earlier releases
+// send offsets alone.
+func decodePositions(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) (map[ml.TopicName]ml.Position, bool) {
+	from := map[ml.TopicName]ml.Position{}
+	if rq.Method == methodRecords {
+		return from, decodeParams(ctx, conn, rq, &from)
+	}
+	offsets := map[ml.TopicName]ml.Offset{}
+	ok := decodeParams(ctx, conn, rq, &offsets)
+	for to, offset := range offsets {
+		from[to] = ml.Position{Offset: offset}
 	}
+	return from, ok
 }
 
 func (ss *session) handleRecords(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
-	after := map[ml.TopicName]ml.Offset{}
-	if !decodeParams(ctx, conn, rq, &after) {
+	from, ok := decodePositions(ctx, conn, rq)
+	if !ok {
 		return
 	}
 	defer ss.recordsReplies.Add(-1)
@@ -88,7 +107,7 @@
 		_ = conn.ReplyWithError(ctx, rq.ID, errBusy)
 		return
 	}
-	reply := ss.ShareHandler.OnRecords(after)
+	reply := ss.ShareHandler.OnRecords(from)
 	if rq.Method == methodBareRecords {
 		_ = conn.Reply(ctx, rq.ID, append([]ml.KeyRecord{}, reply.Records...))
 		return
--- a/internal/adapter/messenger/share_test.go
+++ b/internal/adapter/messenger/share_test.go
@@ -25,9 +25,9 @@
 	return ml.ShareAck{NextOffsets: map[ml.TopicName]ml.Offset{"t": 7}}
 }
 
-func (sh shareHandler) OnRecords(after map[ml.TopicName]ml.Offset) ml.RecordsReply {
+func (sh shareHandler) OnRecords(after map[ml.TopicName]ml.Position) ml.RecordsReply {
 	return ml.RecordsReply{
-		Records:     []ml.KeyRecord{{Topic: "t", Key: "k", Value: []byte("v"), Offset: after["t"]}},
+		Records:     []ml.KeyRecord{{Topic: "t", Key: "k", Value: []byte("v"), Era: after["t"].Era, Offset: after["t"].Offset}},
 		NextOffsets: map[ml.TopicName]ml.Offset{"t": 8},
 	}
 }
@@ -69,9 +69,9 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(ack.NextOffsets).To(gomega.HaveKeyWithValue(ml.TopicName("t"), ml.Offset(7)))
 	g.Expect(<-sh.received).To(gomega.Equal(newMessage()))
-	records, err := me.Records(context.Background(), address, map[ml.TopicName]ml.Offset{"t": 3})
+	records, err := me.Records(context.Background(), address, map[ml.TopicName]ml.Position{"t": {Offset: 3}})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(records).To(gomega.Equal(sh.OnRecords(map[ml.TopicName]ml.Offset{"t": 3})))
+	g.Expect(records).To(gomega.Equal(sh.OnRecords(map[ml.TopicName]ml.Position{"t": {Offset: 3}})))
 	_, err = me.Share(context.Background(), "127.0.0.1:1", mustPack(newMessage()))
 	g.Expect(err).To(gomega.HaveOccurred())
 }
@@ -153,7 +153,7 @@
 	release chan struct{}
 }
 
-func (sr slowRecords) OnRecords(after map[ml.TopicName]ml.Offset) ml.RecordsReply {
+func (sr slowRecords) OnRecords(after map[ml.TopicName]ml.Position) ml.RecordsReply {
 	<-sr.release
 	return sr.shareHandler.OnRecords(after)
 }
@@ -213,7 +213,7 @@
 	}()
 	me := &messenger.Messenger{}
 	defer me.Close()
-	from := map[ml.TopicName]ml.Offset{"t": 3}
+	from := map[ml.TopicName]ml.Position{"t": {Offset: 3}}
 	reply, err := me.Records(context.Background(), li.Addr().String(), from)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(reply).To(gomega.Equal(ml.RecordsReply{Records: []ml.KeyRecord{{Topic: "t", Key: "k", Value: []byte("v"), Offset: 3}}}))
@@ -224,7 +224,7 @@
 	earlier := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(nc, jsonrpc2.VarintObjectCodec{}), earlierRelease{})
 	defer func() { _ = earlier.Close() }()
 	records := []ml.KeyRecord{}
-	g.Expect(earlier.Call(context.Background(), "records", from, &records)).To(gomega.Succeed())
+	g.Expect(earlier.Call(context.Background(), "records", map[ml.TopicName]ml.Offset{"t": 3}, &records)).To(gomega.Succeed())
 	g.Expect(records).To(gomega.Equal(sh.OnRecords(from).Records))
 }
 
--- a/internal/duty/sharer/records.go
+++ b/internal/duty/sharer/records.go
@@ -61,9 +61,9 @@
 	if digests != nil {
 		return !maps.Equal(digests, sh.Catalog.Digests())
 	}
-	own := sh.Catalog.NextOffsets()
+	own := sh.Catalog.NextPositions()
 	for to, offset := range nextOffsets {
-		if offset > own[to] {
+		if offset > own[to].Offset {
 			return true
 		}
 	}
@@ -85,7 +85,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	own := sh.Catalog.NextOffsets()
+	own := sh.Catalog.NextPositions()
 	reply, err := sh.Peers.Records(callCtx, address, own)
 	if err != nil {
 		sh.Log.Warn("store records not fetched from peer", "peer", address, "error", err)
@@ -93,7 +93,7 @@
 	}
 	sh.fetchedAt = time.Now()
 	changed := sh.Catalog.Merge(sh.fetchedAt, reply.Records, reply.Covered(own))
-	sh.Catalog.Adopt(&reply)
+	sh.Catalog.Adopt(sh.fetchedAt, &reply)
 	if len(changed) > 0 && sh.ReadsStore(sh.fetchedAt) {
 		sh.PublishRecords(changed) // the store may turn this whole domain away
 	}
@@ -113,6 +113,15 @@
 }
 
 // OnRecords implements ml.ShareHandler.
-func (sh *Sharer) OnRecords(after map[ml.TopicName]ml.Offset) ml.RecordsReply {
+func (sh *Sharer) OnRecords(after map[ml.TopicName]ml.Position) ml.RecordsReply {
 	return sh.Catalog.RecordsFrom(after)
 }
+
+// offsets returns the offsets of positions.
+func offsets(positions map[ml.TopicName]ml.Position) map[ml.TopicName]ml.Offset {
+	out := make(map[ml.TopicName]ml.Offset, len(positions))
+	for to, po := range positions {
+		out[to] = po.Offset
+	}
+	return out
+}
--- a/internal/duty/sharer/sharer.go
+++ b/internal/duty/sharer/sharer.go
@@ -248,7 +248,7 @@
 	}
 	ack := ml.ShareAck{Digests: sh.Catalog.Digests()}
 	if sm.Digests == nil {
-		ack.NextOffsets = sh.Catalog.NextOffsets() // the sender may be of an earlier release
+		ack.NextOffsets = offsets(sh.Catalog.NextPositions()) // the sender may be of an earlier release
 	}
 	if len(sm.KnownAddresses) > 0 {
 		ack.KnownAddresses = sh.liveAddresses(now)
--- a/internal/duty/sharer/sharer_test.go
+++ b/internal/duty/sharer/sharer_test.go
@@ -81,7 +81,7 @@
 	return err
 }
 
-func (ne *network) Records(_ context.Context, address string, after map[ml.TopicName]ml.Offset) (ml.RecordsReply, error) {
+func (ne *network) Records(_ context.Context, address string, after map[ml.TopicName]ml.Position) (ml.RecordsReply, error) {
 	sh, err := ne.node(address)
 	if err != nil {
 		return ml.RecordsReply{}, err
@@ -298,14 +298,14 @@
 	before := []ml.KeyRecord{{Topic: topic, Key: "gone", Value: []byte("x"), Offset: 4}}
 	late, started, old := fl.nodes[0], fl.nodes[1], fl.nodes[2]
 	for _, sh := range []*sharer.Sharer{late, old} {
-		sh.Catalog.MergeFromStore(now, topic, before, 5)
-		sh.Catalog.DeleteUnlisted(now, topic, map[string]bool{"gone": true}, 5)
+		sh.Catalog.MergeFromStore(now, topic, before, ml.Position{Offset: 5})
+		sh.Catalog.DeleteUnlisted(now, topic, map[string]bool{"gone": true}, ml.Position{Offset: 5})
 	}
-	old.Catalog.MergeFromStore(now, topic, []ml.KeyRecord{{Topic: topic, Key: "gone", Offset: 5}}, 7)
-	started.Catalog.MergeFromStore(now, topic, nil, 7) // has listed what was left
-	started.Catalog.DeleteUnlisted(now, topic, map[string]bool{}, 7)
+	old.Catalog.MergeFromStore(now, topic, []ml.KeyRecord{{Topic: topic, Key: "gone", Offset: 5}}, ml.Position{Offset: 7})
+	started.Catalog.MergeFromStore(now, topic, nil, ml.Position{Offset: 7}) // has listed what was left
+	started.Catalog.DeleteUnlisted(now, topic, map[string]bool{}, ml.Position{Offset: 7})
 	digest := func(from *sharer.Sharer) {
-		late.OnShare(ml.ShareMessage{From: from.Self, Address: from.Address, KnownAddresses: []string{from.Address}, NextOffsets: from.Catalog.NextOffsets()})
+		late.OnShare(ml.ShareMessage{From: from.Self, Address: from.Address, KnownAddresses: []string{from.Address}, NextOffsets: map[ml.TopicName]ml.Offset{topic: from.Catalog.NextPositions()[topic].Offset}})
 	}
 	deleted := func() bool {
 		for _, re := range late.Catalog.RecordsFrom(nil).Records {
@@ -317,10 +317,10 @@
 	}
 	digest(started)
 	g.Consistently(deleted, "200ms", "10ms").Should(gomega.BeFalse())
-	g.Expect(late.Catalog.NextOffsets()[topic]).To(gomega.Equal(ml.Offset(5)), "it doesn't know everything before 7")
+	g.Expect(late.Catalog.NextPositions()[topic]).To(gomega.Equal(ml.Position{Offset: 5}), "it doesn't know everything before 7")
 	g.Eventually(func() bool {
 		digest(old)
 		return deleted()
 	}, "5s", "20ms").Should(gomega.BeTrue())
-	g.Expect(late.Catalog.NextOffsets()[topic]).To(gomega.Equal(ml.Offset(7)))
+	g.Expect(late.Catalog.NextPositions()[topic]).To(gomega.Equal(ml.Position{Offset: 7}))
 }
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -1,12 +1,11 @@
 // Package cataloger holds the newest records of the platform's store: the
 // configuration in force, the endpoints, and the failure domains that are out of
-// service. Records of a key are ordered by their offsets, so that they may arrive
+// service. Records of a key are ordered by their positions, so that they may arrive
 // from the store and from other entry VMs in any order.
 package cataloger
 
 import (
 	"log/slog"
-	"maps"
 	"sync"
 	"time"
 
@@ -37,6 +36,7 @@
 	RemovedAt time.Time // when its record was deleted; zero while the record exists
 	ReadAt    time.Time // when its newest record was read
 	Topic     ml.TopicName
+	Era       ml.Era // of its newest record
 }
 
 // Cataloger holds the newest record of each key. It is safe for concurrent use.
@@ -54,15 +54,22 @@
 	// OnPart is called for each record of a part of prompts, with locks held. It may be
 	// nil.
 	OnPart func(now time.Time, part ml.PartID, ps ml.PartState)
+	// OnPartLost is called without locks held for each part of prompts whose record the
+	// store no longer has since it came back from an older copy. It may be nil.
+	OnPartLost func(part ml.PartID)
 	// OnChange is called without locks held after each change. It may be nil.
 	OnChange func()
 
 	mu              sync.Mutex
 	records         map[ml.TopicName]map[string]ml.KeyRecord
-	readOffsets     map[ml.TopicName]ml.Offset // up to which this entry VM has read the store itself
-	listedFrom      map[ml.TopicName]ml.Offset // end of each topic when its keys were listed last
-	heardOffsets    map[ml.TopicName]ml.Offset // up to which other entry VMs have passed on what they know
+	era             ml.Era                       // the latest of the store that is known
+	eraSince        time.Time                    // when that became known; zero if the store has not come back since the start
+	read            map[ml.TopicName]ml.Position // up to which this entry VM has read the store itself
+	listedFrom      map[ml.TopicName]ml.Position // end of each topic when its keys were listed last
+	heard           map[ml.TopicName]ml.Position // up to which other entry VMs have passed on what they know
+	relistedAt      map[ml.TopicName]time.Time   // when the keys were listed first in the era of listedFrom
 	config          *ml.ServingConfig
+	configEra       ml.Era           // in which it was read last
 	matcher         *matcher.Matcher // of config
 	configUnread    bool             // the newest configuration can't be decoded, and is not in force
 	domainsOut      map[ml.DomainID]bool
@@ -77,37 +84,37 @@
 }
 
 // Merge applies records of another entry VM, which has passed on all that it knows before
-// the given offsets. Records older than the known ones are ignored. The store is still read
+// the given positions. Records older than the known ones are ignored. The store is still read
 // from where this entry VM itself has read it: another one may not have known everything,
 // such as the deletions before it started. It returns the records that change the catalog.
-func (ca *Cataloger) Merge(now time.Time, records []ml.KeyRecord, nextOffsets map[ml.TopicName]ml.Offset) []ml.KeyRecord {
+func (ca *Cataloger) Merge(now time.Time, records []ml.KeyRecord, next map[ml.TopicName]ml.Position) []ml.KeyRecord {
 	changed := ca.mergeAll(now, records, fromPeer)
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	raise(&ca.heardOffsets, nextOffsets)
+	raise(&ca.heard, next)
 	return changed
 }
 
 // MergeFromStore applies records read from the store itself. The topic has been
-// read up to the offset end. Records that change the catalog are passed to
+// read up to the position end. Records that change the catalog are passed to
 // OnStoreRecords.
-func (ca *Cataloger) MergeFromStore(now time.Time, to ml.TopicName, records []ml.KeyRecord, end ml.Offset) {
+func (ca *Cataloger) MergeFromStore(now time.Time, to ml.TopicName, records []ml.KeyRecord, end ml.Position) {
 	changed := ca.mergeAll(now, records, fromStore)
 	ca.mu.Lock()
-	raise(&ca.readOffsets, map[ml.TopicName]ml.Offset{to: end})
+	raise(&ca.read, map[ml.TopicName]ml.Position{to: end})
 	ca.mu.Unlock()
 	if len(changed) > 0 && ca.OnStoreRecords != nil {
 		ca.OnStoreRecords(changed)
 	}
 }
 
-// MergeFirstListing applies the first listing of a topic, up to the offset end. Nothing in it
+// MergeFirstListing applies the first listing of a topic, up to the position end. Nothing in it
 // is new to the other entry VMs, so that it is not passed to OnStoreRecords.
-func (ca *Cataloger) MergeFirstListing(now time.Time, to ml.TopicName, records []ml.KeyRecord, end ml.Offset) {
+func (ca *Cataloger) MergeFirstListing(now time.Time, to ml.TopicName, records []ml.KeyRecord, end ml.Position) {
 	ca.mergeAll(now, records, fromStore)
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	raise(&ca.readOffsets, map[ml.TopicName]ml.Offset{to: end})
+	raise(&ca.read, map[ml.TopicName]ml.Position{to: end})
 }
 
 // source is where a record came from.
@@ -118,13 +125,15 @@
 	fromPeer  source = "peer"
 )
 
-// raise raises offsets to others that are higher.
-func raise(offsets *map[ml.TopicName]ml.Offset, others map[ml.TopicName]ml.Offset) {
-	if *offsets == nil {
-		*offsets = make(map[ml.TopicName]ml.Offset)
+// raise raises positions to others that are later.
+func raise(positions *map[ml.TopicName]ml.Position, others map[ml.TopicName]ml.Position) {
+	if *positions == nil {
+		*positions = make(map[ml.TopicName]ml.Position)
 	}
-	for to, offset := range others {
-		(*offsets)[to] = max((*offsets)[to], offset)
+	for to, po := range others {
+		if old, known := (*positions)[to]; !known || po.Compare(old) > 0 {
+			(*positions)[to] = po
+		}
 	}
 }
 
@@ -133,6 +142,7 @@
 	ca.mu.Lock()
 	changed := []ml.KeyRecord{}
 	for _, re := range records {
+		ca.observeEra(now, re.Era, so)
 		if ca.mergeRecord(now, re, so) {
 			changed = append(changed, re)
 		}
@@ -154,9 +164,13 @@
 		keys = make(map[string]ml.KeyRecord)
 		ca.records[re.Topic] = keys
 	}
-	if old, found := keys[re.Key]; found && old.Offset >= re.Offset {
+	old, found := keys[re.Key]
+	if found && !ca.isNewer(old, re) || !found && ca.isUnstated(re) {
 		return false
 	}
+	if ca.isUnstated(re) {
+		re.Era, re.Offset = old.Era, old.Offset
+	}
 	keys[re.Key] = re
 	changed := ca.apply(now, re, so)
 	ca.updateDigest(re)
@@ -195,11 +209,14 @@
 		ca.Log.Error("cannot decode configuration, keeping the one in force", "offset", re.Offset, "source", so, "error", err)
 		return
 	}
+	if ca.config != nil && co.Version == ca.config.Version {
+		ca.configEra = max(ca.configEra, re.Era)
+	}
 	if ca.config != nil && co.Version <= ca.config.Version {
 		ca.Log.Warn("ignoring configuration that is not newer than the one in force", "version", co.Version, "inForce", ca.config.Version)
 		return
 	}
-	ca.config, ca.matcher = &co, matcher.New(&co)
+	ca.config, ca.matcher, ca.configEra = &co, matcher.New(&co), re.Era
 	ca.Log.Info("configuration in force", "version", co.Version, "routes", len(co.Routes), "teams", len(co.Teams), "offset", re.Offset, "source", so)
 }
 
@@ -268,12 +285,13 @@
 }
 
 // ConfigConfirmedAt returns a time up to which all configurations that the store had
-// acknowledged in a topic are in force. It is zero before the first read, and while the
-// newest one can't be decoded.
-func (ca *Cataloger) ConfigConfirmedAt(to ml.TopicName) time.Time {
+// acknowledged in a topic are in force. It is zero before the first read, while the newest one
+// can't be decoded, and after the store has come back from an older copy until the operators
+// have had the time to write theirs again.
+func (ca *Cataloger) ConfigConfirmedAt(now time.Time, to ml.TopicName) time.Time {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	if ca.configUnread {
+	if ca.configUnread || ca.mayLackConfig(now) {
 		return time.Time{}
 	}
 	return ca.confirmedAt[to]
@@ -320,37 +338,43 @@
 	return ca.matcher
 }
 
-// ReadOffset returns the offset at which this entry VM continues to read a topic.
-func (ca *Cataloger) ReadOffset(to ml.TopicName) ml.Offset {
+// ReadPosition returns the position at which this entry VM continues to read a topic.
+func (ca *Cataloger) ReadPosition(to ml.TopicName) ml.Position {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	return ca.readOffsets[to]
+	return ca.read[to]
 }
 
-// NextOffsets returns, for each topic, the offset up to which this entry VM can tell
+// NextPositions returns, for each topic, the position up to which this entry VM can tell
 // others what it knows.
-func (ca *Cataloger) NextOffsets() map[ml.TopicName]ml.Offset {
+func (ca *Cataloger) NextPositions() map[ml.TopicName]ml.Position {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	return ca.nextOffsets()
+	return ca.nextPositions()
 }
 
-func (ca *Cataloger) nextOffsets() map[ml.TopicName]ml.Offset {
-	out := make(map[ml.TopicName]ml.Offset)
-	raise(&out, ca.readOffsets)
-	raise(&out, ca.heardOffsets)
+func (ca *Cataloger) nextPositions() map[ml.TopicName]ml.Position {
+	out := make(map[ml.TopicName]ml.Position)
+	raise(&out, ca.read)
+	raise(&out, ca.heard)
 	return out
 }
 
 // RecordsFrom returns the newest records of all keys that are at or after the given
-// offsets, and the offsets up to which it knows them.
-func (ca *Cataloger) RecordsFrom(from map[ml.TopicName]ml.Offset) ml.RecordsReply {
+// positions, those that are kept although the store has lost them, and the positions up to
+// which it knows them.
+func (ca *Cataloger) RecordsFrom(from map[ml.TopicName]ml.Position) ml.RecordsReply {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	out := ml.RecordsReply{NextOffsets: ca.nextOffsets(), ListedFrom: maps.Clone(ca.listedFrom)}
+	out := ml.RecordsReply{}
+	out.SetPositions(ca.nextPositions(), ca.listedFrom)
 	for to, keys := range ca.records {
+		start := from[to]
+		if start.Era == 0 {
+			start.Era = ca.listedFrom[to].Era // the other entry VM knows of no eras
+		}
 		for _, re := range keys {
-			if re.Offset >= from[to] {
+			if re.Position().Compare(start) >= 0 || re.Era < ca.listedFrom[to].Era {
 				out.Records = append(out.Records, re)
 			}
 		}
@@ -359,16 +383,33 @@
 }
 
 // DeleteUnlisted marks keys as deleted that are missing in a complete listing of
-// a topic. Keys with records at or after the listing's end stay.
-func (ca *Cataloger) DeleteUnlisted(now time.Time, to ml.TopicName, listed map[string]bool, end ml.Offset) {
+// a topic. Keys with records at or after the listing's end stay, and for a time those of an
+// earlier era.
+func (ca *Cataloger) DeleteUnlisted(now time.Time, to ml.TopicName, listed map[string]bool, end ml.Position) {
 	ca.mu.Lock()
-	raise(&ca.listedFrom, map[ml.TopicName]ml.Offset{to: end})
-	deletions := []ml.KeyRecord{}
+	ca.recordListing(now, to, end)
+	deletions, lost := []ml.KeyRecord{}, []ml.PartID{}
 	for key, re := range ca.records[to] {
-		if !listed[key] && re.Value != nil && re.Offset < end {
-			deletions = append(deletions, ml.KeyRecord{Topic: to, Key: key, Offset: end - 1})
+		switch {
+		case listed[key] || re.Value == nil || re.Position().Compare(end) >= 0:
+		case re.Era == end.Era:
+			deletions = append(deletions, deletion(to, key, end))
+		default:
+			if part, _, found := ca.Decoder.Part(re); found {
+				lost = append(lost, part)
+			}
 		}
 	}
 	ca.mu.Unlock()
 	ca.Merge(now, deletions, nil)
+	for _, part := range lost {
+		if ca.OnPartLost != nil {
+			ca.OnPartLost(part)
+		}
+	}
+}
+
+// deletion returns a record of the deletion of a key before the end of a listing.
+func deletion(to ml.TopicName, key string, end ml.Position) ml.KeyRecord {
+	return ml.KeyRecord{Topic: to, Key: key, Era: end.Era, Offset: end.Offset - 1}
 }
--- a/internal/state/cataloger/cataloger_test.go
+++ b/internal/state/cataloger/cataloger_test.go
@@ -128,7 +128,7 @@
 	g := gomega.NewWithT(t)
 	ca := newCataloger()
 	ca.Merge(start, []ml.KeyRecord{record("e", "live@d", 1), record("f", "live@d", 9)}, nil)
-	ca.DeleteUnlisted(start, "t", map[string]bool{}, 5)
+	ca.DeleteUnlisted(start, "t", map[string]bool{}, ml.Position{Offset: 5})
 	usable := ca.Usable(start, "s")
 	g.Expect(usable).To(gomega.HaveLen(1))
 	g.Expect(usable[0].ID).To(gomega.Equal(ml.EndpointID("f")))
--- a/internal/state/cataloger/digest.go
+++ b/internal/state/cataloger/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -54,7 +55,7 @@
 	_, _ = di.WriteString(re.Key) // never fails
 	if li, found := ca.endpoints[ml.EndpointID(re.Key)]; found && li.Topic == re.Topic {
 		ep := li.ListedEndpoint
-		ep.ColdRemaining = 0
+		ep.ColdRemaining, ep.Sequence = 0, 0
 		_, _ = fmt.Fprintf(di, "%+v", ep)
 	} else {
 		_, _ = di.Write(re.Value)
@@ -62,18 +63,19 @@
 	return ml.CatalogDigest(di.Sum64() | 1) // not 0
 }
 
-// Adopt takes over what another entry VM has listed of topics of which this one knows nothing
-// yet, so that it need not list them itself. The records must have been merged.
-func (ca *Cataloger) Adopt(reply *ml.RecordsReply) {
+// Adopt takes over what another entry VM has listed of topics of which this one has listed
+// nothing in that era, so that it need not list them itself. The records must have been merged.
+func (ca *Cataloger) Adopt(now time.Time, reply *ml.RecordsReply) {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
 	for to := range reply.ListedFrom {
-		if _, listed := ca.listedFrom[to]; listed {
+		next := reply.Next(to)
+		if listed, known := ca.listedFrom[to]; known && listed.Era >= next.Era || next.Era < ca.era {
 			continue
 		}
 		// Deletions are known from here on: a deleted key isn't among the records.
-		raise(&ca.listedFrom, map[ml.TopicName]ml.Offset{to: reply.NextOffsets[to]})
-		raise(&ca.readOffsets, map[ml.TopicName]ml.Offset{to: reply.NextOffsets[to]})
+		ca.recordListing(now, to, next)
+		raise(&ca.read, map[ml.TopicName]ml.Position{to: next})
 	}
 }
 
--- a/internal/state/cataloger/endpoint.go
+++ b/internal/state/cataloger/endpoint.go
@@ -26,11 +26,12 @@
 		ca.Log.Warn("endpoint record is not usable, dropping the endpoint", "key", re.Key, "topic", re.Topic, "error", err)
 		return true
 	}
-	li := Listing{ListedEndpoint: ep, ReadAt: now, Topic: re.Topic}
+	li := Listing{ListedEndpoint: ep, ReadAt: now, Topic: re.Topic, Era: re.Era}
 	if ep.ColdRemaining > 0 {
 		li.ColdUntil = now.Add(ep.ColdRemaining)
 	}
 	ca.endpoints[id] = li
+	old.Sequence = ep.Sequence
 	if listed && old.RemovedAt.IsZero() && old.ListedEndpoint == ep {
 		return false
 	}
@@ -90,6 +91,9 @@
 	if _, leaves := ca.departures[ml.Departure{Endpoint: id, Incarnation: li.Incarnation}]; leaves {
 		return false
 	}
+	if ca.isOutdated(now, li.Topic, li.Era, endpointRewriteTime) {
+		return false
+	}
 	if li.RemovedAt.IsZero() {
 		return true
 	}
@@ -102,6 +106,11 @@
 func (ca *Cataloger) RecordDeparture(now time.Time, de ml.Departure) bool {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
+	return ca.recordDeparture(now, de)
+}
+
+// recordDeparture is RecordDeparture. The caller must hold ca.mu.
+func (ca *Cataloger) recordDeparture(now time.Time, de ml.Departure) bool {
 	if _, known := ca.departures[de]; known {
 		return false
 	}
--- /dev/null
+++ b/internal/state/cataloger/era_test.go
@@ -0,0 +1,162 @@
+package cataloger_test
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
+)
+
+// countedDecoder is textDecoder with endpoints written as state@domain#sequence.
+type countedDecoder struct{ textDecoder }
+
+func (cd countedDecoder) Endpoint(re ml.KeyRecord) (ml.ListedEndpoint, bool, error) {
+	text, sequence, _ := strings.Cut(string(re.Value), "#")
+	re.Value = []byte(text)
+	ep, found, err := cd.textDecoder.Endpoint(re)
+	if n, err := strconv.ParseInt(sequence, 10, 64); err == nil {
+		ep.Sequence = n
+	}
+	return ep, found, err
+}
+
+func newCountedCataloger() *cataloger.Cataloger {
+	ca := newCataloger()
+	ca.Decoder = countedDecoder{}
+	return ca
+}
+
+// keyedStore is a store of one keyed topic that comes back from older copies.
+type keyedStore struct {
+	era     ml.Era
+	records []ml.KeyRecord
+	history []ml.KeyRecord // all records that it ever held
+}
+
+func (ks *keyedStore) put(key, value string) {
+	re := record(key, value, ml.Offset(len(ks.records)))
+	re.Era = ks.era
+	ks.records, ks.history = append(ks.records, re), append(ks.history, re)
+}
+
+// restore makes the store come back from a copy of when it held n records.
+func (ks *keyedStore) restore(n int) {
+	ks.era++
+	ks.records = slices.Clone(ks.records[:n])
+	for i := range ks.records {
+		ks.records[i].Era = ks.era
+	}
+}
+
+func (ks *keyedStore) end() ml.Position {
+	return ml.Position{Era: ks.era, Offset: ml.Offset(len(ks.records))}
+}
+
+// listing returns the newest record of each key that has a value, and these keys.
+func (ks *keyedStore) listing() ([]ml.KeyRecord, map[string]bool) {
+	newest := map[string]ml.KeyRecord{}
+	for _, re := range ks.records {
+		newest[re.Key] = re
+	}
+	out, listed := []ml.KeyRecord{}, map[string]bool{}
+	for key, re := range newest {
+		if re.Value != nil {
+			out, listed[key] = append(out, re), true
+		}
+	}
+	return out, listed
+}
+
+// TestEras checks that, whatever the order in which records of several eras arrive from others,
+// an entry VM that has listed the store in its newest era ends with what that holds: only the
+// configuration never goes back, and engines that nobody has written again are gone.
+func TestEras(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ks, version, sequence := &keyedStore{era: 1}, 0, 0
+		for range rapid.IntRange(1, 25).Draw(rt, "steps") {
+			switch rapid.SampledFrom([]string{"config", "engine", "gone", "out", "back", "return"}).Draw(rt, "step") {
+			case "config":
+				version++
+				ks.put("config", strconv.Itoa(version))
+			case "engine":
+				sequence++
+				ks.put(rapid.SampledFrom([]string{"e1", "e2"}).Draw(rt, "id"), fmt.Sprintf("%s@d#%d", rapid.SampledFrom([]string{"live", "leaving"}).Draw(rt, "state"), sequence))
+			case "gone":
+				ks.put(rapid.SampledFrom([]string{"e1", "e2"}).Draw(rt, "id"), "")
+			case "out":
+				ks.put("out/d", "y")
+			case "back":
+				ks.put("out/d", "")
+			case "return":
+				ks.restore(rapid.IntRange(0, len(ks.records)).Draw(rt, "copy"))
+			}
+		}
+		ks.put("config", strconv.Itoa(version+1)) // what the operators wrote is written again
+		ca := newCountedCataloger()
+		heard := rapid.Permutation(ks.history).Draw(rt, "heard")
+		at := rapid.IntRange(0, len(heard)).Draw(rt, "listed after")
+		ca.Merge(start, heard[:at], nil)
+		records, listed := ks.listing()
+		ca.MergeFromStore(start, "t", records, ks.end())
+		ca.DeleteUnlisted(start, "t", listed, ks.end())
+		ca.Merge(start, heard[at:], nil)
+		if got := ca.Version(); got != ml.Version(version+1) {
+			rt.Fatalf("version %d is in force, want %d", got, version+1)
+		}
+		later := start.Add(time.Hour)
+		ca.DropOutdated(later)
+		for _, li := range ca.Usable(later, "s") {
+			if !listed[string(li.ID)] {
+				rt.Fatalf("%s is usable, but the store has no entry of it", li.ID)
+			}
+		}
+		if ca.ReadPosition("t") != ks.end() {
+			rt.Fatalf("reads on at %v, want %v", ca.ReadPosition("t"), ks.end())
+		}
+	})
+}
+
+// TestEraOfPeers checks what an entry VM takes over from others that know the store in another
+// era, or are of a release that doesn't say in which.
+func TestEraOfPeers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ca := newCountedCataloger()
+	ks := &keyedStore{era: 2}
+	ks.put("config", "5")
+	ks.put("e1", "live@d#4")
+	records, listed := ks.listing()
+	ca.MergeFirstListing(start, "t", records, ks.end())
+	ca.DeleteUnlisted(start, "t", listed, ks.end())
+
+	ca.Merge(start, []ml.KeyRecord{record("config", "4", 90), record("e1", "leaving@d#3", 91), record("e2", "live@d#1", 92), record("e1", "", 93)}, nil)
+	g.Expect(ca.Version()).To(gomega.Equal(ml.Version(5)))
+	g.Expect(ca.Usable(start, "s")).To(gomega.HaveLen(1), "old records of an earlier release")
+	ca.Merge(start, []ml.KeyRecord{record("config", "6", 94), record("e1", "leaving@d#5", 95)}, nil)
+	g.Expect(ca.Version()).To(gomega.Equal(ml.Version(6)), "a newer configuration of an earlier release")
+	g.Expect(ca.Usable(start, "s")).To(gomega.BeEmpty(), "the newer state of an engine of an earlier release")
+
+	other := newCountedCataloger()
+	later := &keyedStore{era: 3}
+	later.put("config", "7")
+	records, listed = later.listing()
+	other.MergeFirstListing(start, "t", records, later.end())
+	other.DeleteUnlisted(start, "t", listed, later.end())
+	reply := other.RecordsFrom(ca.NextPositions())
+	g.Expect(reply.Covered(ca.NextPositions())).To(gomega.BeEmpty(), "offsets of different eras can't be compared")
+	ca.Merge(start, reply.Records, reply.Covered(ca.NextPositions()))
+	ca.Adopt(start, &reply)
+	g.Expect(ca.Version()).To(gomega.Equal(ml.Version(7)))
+	g.Expect(ca.ReadPosition("t")).To(gomega.Equal(later.end()))
+	g.Expect(ca.Era()).To(gomega.Equal(ml.Era(3)))
+	earlier := (&keyedStore{era: 2}).end()
+	ca.MergeFromStore(start, "t", nil, earlier)
+	g.Expect(ca.ReadPosition("t")).To(gomega.Equal(later.end()), "an answer that comes late")
+}
--- a/serving.go
+++ b/serving.go
@@ -121,6 +121,7 @@
 	Endpoint
 	Incarnation   Incarnation
 	ColdRemaining time.Duration // when the registration was read
+	Sequence      int64         // counts the registrations of this incarnation; 0 if unknown
 }
 
 // FlightID identifies a flight or a queued request within the fleet.
