fix: a stop tells everything that waits, before its end

Cause: what still waited 3 s after the signal was told nothing, and the process ended at a fixed time. Only admitted requests counted as under way. Fix: the stopper has two moments. From the first on all that has not been sent is refused at once: in the own queue, at a scheduler elsewhere, at the entry VM that has taken it over, during its body. At the second one, before the end, the rest is ended: broken streams are closed, others get 502.

--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -105,9 +105,10 @@
 	// Schedulers asks other entry VMs to place requests.
 	Schedulers ml.SchedulerPeers
 
-	// Stopping reports that this process stops so soon that a request which is sent now may be
-	// cut off. Nil means never.
-	Stopping func() bool
+	// Refusing ends when this process stops so soon that a request which is sent now may be cut
+	// off: what has not been sent is refused then. Ending ends when all requests have to be
+	// ended. Nil means never.
+	Refusing, Ending context.Context
 
 	// PropagationDelay returns the mean delay of updates between entry VMs. Nil means none.
 	PropagationDelay func() time.Duration
@@ -170,6 +171,8 @@
 func (fo *Forwarder) Forward(ctx context.Context, rq *Request, rs ml.Responder) {
 	ctx, cancel := context.WithDeadline(ctx, rq.Deadline)
 	defer cancel()
+	ctx, release := endWith(ctx, fo.Ending)
+	defer release()
 	if !rq.IsCarried {
 		fo.retryBudget(rq.Service).RecordRequest(fo.RetryPerCent)
 	}
@@ -198,23 +201,14 @@
 // placeAndAttempt makes one attempt: it places the request, sends it and forwards
 // the response.
 func (fo *Forwarder) placeAndAttempt(ctx context.Context, rq *Request, rs ml.Responder) attemptResult {
-	if err := fo.checkParts(ctx, rq); err != nil {
-		return fo.notPlaced(rq, err)
-	}
-	if fo.isStranded(rq) {
-		return fo.notPlaced(rq, &unplaceableError{reason: errPathsLost.Error(), retryAfter: defaultRetryAfter})
-	}
-	if fo.mustCarry(time.Now(), rq) {
+	pl, err := fo.waitForPlace(ctx, rq)
+	if errors.Is(err, errMustCarry) {
 		return fo.carry(ctx, rq, rs)
 	}
-	pl, err := fo.place(ctx, rq)
 	if err != nil {
 		return fo.notPlaced(rq, err)
 	}
 	defer fo.endFlights(pl)
-	if fo.comesTooLate(rq) {
-		return fo.notPlaced(rq, &unplaceableError{reason: "stopping", retryAfter: defaultRetryAfter})
-	}
 	if ve := fo.checkOnce(time.Now(), rq); ve.Blocked != "" || ve.Wait > 0 {
 		return attemptResult{notRun: true, reason: "engines crashed on the request, or on a part of its prompt, meanwhile"}
 	}
@@ -244,12 +238,6 @@
 	return ar
 }
 
-// comesTooLate reports whether a request that has not been sent yet must not be sent any more,
-// since this process stops. One that has been may go on at another endpoint.
-func (fo *Forwarder) comesTooLate(rq *Request) bool {
-	return fo.Stopping != nil && fo.Stopping() && rq.possibleRuns == 0
-}
-
 // notPlaced returns the result of a request that could not be placed, and logs why.
 func (fo *Forwarder) notPlaced(rq *Request, err error) attemptResult {
 	var ue *unplaceableError
--- a/internal/duty/forwarder/refusal.go
+++ b/internal/duty/forwarder/refusal.go
@@ -40,7 +40,7 @@
 	switch {
 	case rq.possibleRuns == 0:
 		return ml.Refusal{Status: http.StatusServiceUnavailable, Reason: "not run: " + ar.reason, RetryAfter: retryAfter}
-	case ctx.Err() != nil:
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStopping):
 		return ml.Refusal{Status: http.StatusGatewayTimeout, Reason: "no answer in time"}
 	}
 	return ml.Refusal{Status: http.StatusBadGateway, Reason: "may have run: " + ar.reason}
