fix: a stream leaves a silent engine only with a place of its own

Cause: each stream looked whether another engine could take it and left its own; the look reserved nothing, here, at a scheduler or between entry VMs. A stream whose engine goes on meanwhile stays, and one that the new engine turns away may go back. The watchdog no longer reads what the attempt writes (data race), and ends with it.

--- a/exchange.go
+++ b/exchange.go
@@ -222,6 +222,7 @@
 	Value                float64    `json:"v"`
 	Partial              bool       `json:"k,omitempty"`
 	Helper               bool       `json:"h,omitempty"`
+	Reserved             bool       `json:"n,omitempty"`
 }
 
 // SharedQueuedRequest is a QueuedRequest in a ShareMessage. Targets and deadlines are
--- a/internal/duty/forwarder/asker.go
+++ b/internal/duty/forwarder/asker.go
@@ -86,7 +86,7 @@
 // ask asks a scheduler to decide on a request within a time.
 func (fo *Forwarder) ask(ctx context.Context, now time.Time, address string, it *item, within time.Duration, excluded []ml.EndpointID) (ml.SharedPlacement, error) {
 	pr := fo.placementRequest(now, it, excluded)
-	pr.MaxIdleWait = it.maxIdleWait
+	pr.MaxIdleWait, pr.IsImmediate = it.maxIdleWait, it.isImmediate
 	sp := tracker.EncodePlacementRequest(now, &pr)
 	sp.ReplyWithinMs = within.Milliseconds()
 	ctx, cancel := context.WithTimeout(ctx, within+replyMargin)
@@ -154,15 +154,3 @@
 	}
 	return pl
 }
-
-// probeAt asks a scheduler whether an engine other than the one that has a request could take
-// it at once.
-func (fo *Forwarder) probeAt(address string, it *item, lead ml.EndpointID) bool {
-	now := time.Now()
-	pr := fo.placementRequest(now, it, []ml.EndpointID{lead})
-	pr.IsProbe = true
-	ctx, cancel := context.WithTimeout(context.Background(), replyMargin)
-	defer cancel()
-	sp, err := fo.Schedulers.Schedule(ctx, address, tracker.EncodePlacementRequest(now, &pr))
-	return err == nil && sp.Refusal == ""
-}
--- a/internal/duty/forwarder/attempt.go
+++ b/internal/duty/forwarder/attempt.go
@@ -48,7 +48,7 @@
 	}
 	defer fo.releaseMemory(pl)
 	wd := fo.startWatchdog(ctx, rq, pl, cancel)
-	defer wd.Stop()
+	defer wd.end(cancel)
 	out := rq.outgoing(pl)
 	out.OnSent = func() { fo.Tracker.RecordSent(time.Now(), pl.flights[0]) }
 	sent := time.Now()
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -57,13 +58,15 @@
 	headType       string     // the media type in that header
 	lastEventID    ml.EventID // of the newest event that the caller has
 	eventCount     int
-	firstEventAt   time.Time       // when the first event was forwarded
-	lastEventAt    time.Time       // when the latest event was forwarded
-	longestGap     time.Duration   // longest gap between two events
-	retryCharged   atomic.Bool     // the retry budget was already charged for the next attempt
-	triedEndpoints []ml.EndpointID // endpoints that received the request
-	carriers       []string        // addresses of the entry VMs to which it was handed over
-	isTrial        bool            // sent although it is blocked, or a part of its prompt
+	firstEventAt   time.Time                 // when the first event was forwarded
+	lastEventAt    time.Time                 // when the latest event was forwarded
+	longestGap     time.Duration             // longest gap between two events
+	retryCharged   atomic.Bool               // the retry budget was already charged for the next attempt
+	reserved       atomic.Pointer[placement] // for the next attempt
+	leftEndpoint   ml.EndpointID             // that the last attempt has left although it may be well
+	triedEndpoints []ml.EndpointID           // endpoints that received the request
+	carriers       []string                  // addresses of the entry VMs to which it was handed over
+	isTrial        bool                      // sent although it is blocked, or a part of its prompt
 }
 
 // Forwarder places requests on endpoints and forwards the responses.
@@ -130,6 +133,7 @@
 	peerPlaceableSince map[ml.FlightID]time.Time // since when peer requests could have been placed; used by Run only
 	lastFlightNumber   atomic.Int64              // last number used in a flight id
 	choosing           sync.Mutex                // held by chooseService until the flight is recorded
+	deciding           sync.Mutex                // held while it is decided on requests, until their flights are recorded
 	mu                 sync.Mutex
 	retryBudgets       map[ml.ServiceName]*budgeter.Budgeter
 }
@@ -176,6 +180,7 @@
 	if !rq.IsCarried {
 		fo.retryBudget(rq.Service).RecordRequest(fo.RetryPerCent)
 	}
+	defer fo.releasePlace(rq)
 	rq.lastEventID = rq.Outgoing.LastEventID
 	outcome := ""
 	for outcome == "" {
@@ -231,6 +236,7 @@
 		fo.Metrics.Sent(rq, rq.sendCount)
 		rq.triedEndpoints = append(rq.triedEndpoints, pl.lead.ID)
 	}
+	rq.recordLeft(pl, ar)
 	if ar.received && !ar.notRun {
 		rq.possibleRuns++
 	}
@@ -238,6 +244,18 @@
 	return ar
 }
 
+// recordLeft records that a stream has left its silent engine. If the engine to which it has moved
+// turns it away, it may go back.
+func (rq *Request) recordLeft(pl *placement, ar attemptResult) {
+	if ar.notRun && rq.leftEndpoint != "" {
+		rq.triedEndpoints = slices.DeleteFunc(rq.triedEndpoints, func(id ml.EndpointID) bool { return id == rq.leftEndpoint })
+	}
+	rq.leftEndpoint = ""
+	if ar.timedOut {
+		rq.leftEndpoint = pl.lead.ID
+	}
+}
+
 // notPlaced returns the result of a request that could not be placed, and logs why.
 func (fo *Forwarder) notPlaced(rq *Request, err error) attemptResult {
 	var ue *unplaceableError
--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -71,7 +71,11 @@
 
 // newOwnItem returns a request of this entry VM that is to be placed.
 func (fo *Forwarder) newOwnItem(now time.Time, rq *Request) *item {
-	pr := rq.placerRequest(fo.Domain)
+	return fo.newItemFor(now, rq, rq.placerRequest(fo.Domain))
+}
+
+// newItemFor returns a request of this entry VM as an item with a placer's input.
+func (fo *Forwarder) newItemFor(now time.Time, rq *Request, pr placer.Request) *item {
 	it := &item{
 		id: fo.newFlightID(), rq: rq, service: rq.Service, placerReq: pr, waitingSince: now, result: make(chan decision, 1),
 		latestStart: pr.LatestStart(), maxIdleWait: rq.Route.Target / noEndpointWaitDivisor,
@@ -128,11 +132,7 @@
 // already sent events to the caller is in time if its next event comes before the
 // caller stops waiting.
 func (rq *Request) placerRequest(domain ml.DomainID) placer.Request {
-	pr := placer.Request{
-		Profile: rq.Spec.Engine, Prompt: rq.Prompt, Answer: rq.Answer,
-		FirstEventTarget: rq.FirstEventTarget, FirstEventDeadline: rq.FirstEventDeadline,
-		GapTarget: rq.Route.GapTarget, Value: placer.RequestValue(rq.Prompt), Domain: domain,
-	}
+	pr := rq.newPlacerRequest(domain, rq.FirstEventTarget, rq.FirstEventDeadline)
 	if rq.headSent {
 		nextEventDeadline := rq.lastEventAt.Add(rq.FirstEventDeadline.Sub(rq.Arrived))
 		if nextEventDeadline.After(rq.Deadline) {
@@ -148,6 +148,14 @@
 	return pr
 }
 
+// newPlacerRequest returns the request as the placer's input, with times for its first event.
+func (rq *Request) newPlacerRequest(domain ml.DomainID, target, deadline time.Time) placer.Request {
+	return placer.Request{
+		Profile: rq.Spec.Engine, Prompt: rq.Prompt, Answer: rq.Answer, FirstEventTarget: target, FirstEventDeadline: deadline,
+		GapTarget: rq.Route.GapTarget, Value: placer.RequestValue(rq.Prompt), Domain: domain,
+	}
+}
+
 // endFlights ends the flights of a placement.
 func (fo *Forwarder) endFlights(pl *placement) {
 	for _, id := range pl.flights {
--- a/internal/duty/forwarder/queue.go
+++ b/internal/duty/forwarder/queue.go
@@ -37,6 +37,7 @@
 	shared       bool          // sent to the other entry VMs
 	outranked    bool          // more urgent requests need all free slots
 	maxIdleWait  time.Duration // while no endpoint can take it at all
+	isImmediate  bool          // does not wait
 	result       chan decision
 }
 
--- a/internal/duty/forwarder/round.go
+++ b/internal/duty/forwarder/round.go
@@ -60,6 +60,8 @@
 // request that is still not placed after peerPlacementTimeout is skipped, since the peer
 // has other information or has stopped.
 func (fo *Forwarder) schedule(now time.Time) {
+	fo.deciding.Lock()
+	defer fo.deciding.Unlock()
 	items, abandoned := fo.queue.snapshot(now)
 	for _, it := range abandoned {
 		fo.Tracker.EndPeerFlights(it.ask.From, it.id)
@@ -324,6 +326,7 @@
 	out := make([]ml.Flight, 0, parts)
 	for i, ep := range pl.endpoints() {
 		fl := base
+		fl.Reserved = it.isImmediate
 		fl.ID, fl.Endpoint, fl.Partial, fl.Helper = it.id.Flight(i), ep.ID, parts > 1, i > 0
 		fl.Memory = pl.helperMemory
 		if i == 0 {
--- a/internal/duty/forwarder/scheduler.go
+++ b/internal/duty/forwarder/scheduler.go
@@ -33,6 +33,9 @@
 	if pr.IsProbe {
 		return fo.probe(now, &pr, spec)
 	}
+	if pr.IsImmediate {
+		return fo.placeAskedNow(now, &pr, spec)
+	}
 	it := fo.queue.renew(now, &pr)
 	if it == nil {
 		it = newAskedItem(now, &pr, spec)
@@ -76,9 +79,20 @@
 	if fo.couldPlace(ro, it) {
 		return ml.SharedPlacement{}
 	}
-	return ml.SharedPlacement{Refusal: "no engine can go on at once"}
+	return ml.SharedPlacement{Refusal: noPlaceNow}
 }
 
+// placeAskedNow places a request of another entry VM that does not wait.
+func (fo *Forwarder) placeAskedNow(now time.Time, pr *ml.PlacementRequest, spec *ml.ServiceSpec) ml.SharedPlacement {
+	if pl := fo.placeNow(now, newAskedItem(now, pr, spec)); pl != nil {
+		return sharedPlacement(&decision{placement: pl})
+	}
+	return ml.SharedPlacement{Refusal: noPlaceNow}
+}
+
+// noPlaceNow is the refusal of a request that does not wait.
+const noPlaceNow = "no engine can go on at once"
+
 // couldPlace reports whether an endpoint could take a request at once.
 func (fo *Forwarder) couldPlace(ro *round, it *item) bool {
 	candidates, _ := fo.candidatesFor(ro, it, fo.service(ro, it.service))
--- a/internal/duty/forwarder/service.go
+++ b/internal/duty/forwarder/service.go
@@ -21,7 +21,7 @@
 			return nil, errPathsLost
 		}
 		hasWaited := now.Sub(start) >= rq.Route.Target/noEndpointWaitDivisor
-		if pl := fo.chooseService(now, rq, hasWaited && rq.possibleRuns > 0); pl != nil {
+		if pl := fo.chooseService(now, rq, hasWaited && rq.possibleRuns > 0, ""); pl != nil {
 			pl.waited = now.Sub(start)
 			return pl, nil
 		}
@@ -40,15 +40,15 @@
 }
 
 // chooseService places a request of a plain service, if it can be placed now. Endpoints that
-// were tried before are left out unless mayRepeat is set.
-func (fo *Forwarder) chooseService(now time.Time, rq *Request, mayRepeat bool) *placement {
+// were tried before are left out unless mayRepeat is set, and one that is excluded, if any.
+func (fo *Forwarder) chooseService(now time.Time, rq *Request, mayRepeat bool, excluded ml.EndpointID) *placement {
 	fo.choosing.Lock()
 	defer fo.choosing.Unlock()
 	flights := fo.Tracker.Flights(now)
 	candidates := []placer.ServiceCandidate{}
 	for _, li := range fo.Catalog.Usable(now, rq.Service) {
 		ca := fo.candidate(now, li, flights[li.ID])
-		ca.Blocked = ca.Blocked || fo.rateReached(now, rq, li) || !mayRepeat && slices.Contains(rq.triedEndpoints, li.ID)
+		ca.Blocked = ca.Blocked || li.ID == excluded || fo.rateReached(now, rq, li) || !mayRepeat && slices.Contains(rq.triedEndpoints, li.ID)
 		candidates = append(candidates, placer.ServiceCandidate{
 			Endpoint: ca.Endpoint, Running: len(ca.Flights), FailureRate: ca.FailureRate, Blocked: ca.Blocked,
 		})
--- a/internal/duty/forwarder/share_test.go
+++ b/internal/duty/forwarder/share_test.go
@@ -60,11 +60,14 @@
 	rq.Spec.ColdRate = 1
 	fo.ColdOverage, fo.ColdSlack = 1, 0
 	rq.Arrived, rq.FirstEventDeadline = now, now.Add(4*time.Second)
-	if !fo.canResumeElsewhere(now, rq, "e0") {
+	pl := fo.reservePlace(t.Context(), now, rq, "e0")
+	if pl == nil || pl.lead.ID != "e1" {
 		t.Fatal("the stream can't go on at the other engine")
 	}
+	now = now.Add(time.Minute)
+	fo.endFlights(pl)
 	fo.Tracker.AddFlight(now, ml.Flight{ID: "f", Endpoint: "e1", SentAt: now})
-	if fo.canResumeElsewhere(now, rq, "e0") {
+	if fo.reservePlace(t.Context(), now, rq, "e0") != nil {
 		t.Error("the stream is taken from its engine, but could not go on at the other one")
 	}
 }
@@ -84,7 +87,7 @@
 				rq := request(1)
 				rq.Spec.ColdRate, rq.Spec.Engine = share, nil
 				<-begin
-				if fo.chooseService(now, rq, false) != nil {
+				if fo.chooseService(now, rq, false, "") != nil {
 					placed.Add(1)
 				}
 			})
--- a/internal/duty/forwarder/stop.go
+++ b/internal/duty/forwarder/stop.go
@@ -30,6 +30,9 @@
 // has not been sent yet must not be sent any more once this process stops, and doesn't wait for
 // its end; one that has been may go on at another endpoint.
 func (fo *Forwarder) waitForPlace(ctx context.Context, rq *Request) (*placement, error) {
+	if pl := rq.reserved.Swap(nil); pl != nil {
+		return pl, nil
+	}
 	if rq.possibleRuns == 0 {
 		waitCtx, release := endWith(ctx, fo.Refusing)
 		defer release()
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
@@ -23,9 +25,6 @@
 	// not before minGapTimeout.
 	gapTimeoutFactor = 3
 	minGapTimeout    = time.Second
-	// remainingWaitDivisor divides the time that a caller waits for a first event, to
-	// estimate how much of it remains when an engine times out.
-	remainingWaitDivisor = 2
 	// maxIdleBytes bounds what an engine may send between two events: comments, blank
 	// lines and events that the caller has.
 	maxIdleBytes = maxEventBytes
@@ -43,12 +42,21 @@
 	errCallerDisconnected = errors.New("the caller has left")
 )
 
-// watchdog cancels an attempt whose next event timed out, if the request can be
-// resumed at another endpoint. Otherwise the engine may only be slow, so the
-// attempt continues.
+// watchdog cancels an attempt whose next event timed out, if the request has got a place
+// at another endpoint. Otherwise the engine may only be slow, so the attempt continues.
 type watchdog struct {
 	*time.Timer
 	gapTimeout time.Duration // time-out between events
+	events     atomic.Int64  // that were received
+	running    sync.Mutex    // held while it looks for another endpoint
+}
+
+// end ends the attempt, and returns when the watchdog does nothing any more.
+func (wd *watchdog) end(cancel context.CancelCauseFunc) {
+	wd.Stop()
+	cancel(nil)
+	wd.running.Lock()
+	defer wd.running.Unlock()
 }
 
 // startWatchdog starts the watchdog of an attempt. It has no effect once ctx has
@@ -58,41 +66,18 @@
 	wait := firstEventTimeFactor*pl.predictedFirstEvent + firstEventMargin
 	resumable := rq.resumable()
 	wd.Timer = time.AfterFunc(wait, func() {
+		wd.running.Lock()
+		defer wd.running.Unlock()
 		if ctx.Err() != nil {
 			return // fired while the attempt ended
 		}
-		if resumable && fo.canResumeElsewhere(time.Now(), rq, pl.lead.ID) && fo.prepayRetry(rq) {
-			cancel(errEventTimeout)
-			return
+		if !resumable || !fo.moveStream(ctx, rq, pl.lead.ID, wd, cancel) {
+			wd.Reset(wd.gapTimeout)
 		}
-		wd.Reset(wd.gapTimeout)
 	})
 	return wd
 }
 
-// canResumeElsewhere reports whether another engine could continue a stream at once
-// and before its caller stops waiting. If not, the attempt continues at the silent
-// engine, which may only be busy.
-func (fo *Forwarder) canResumeElsewhere(now time.Time, rq *Request, lead ml.EndpointID) bool {
-	if fo.mustCarry(now, rq) {
-		return true
-	}
-	if rq.Spec == nil || rq.Spec.Engine == nil {
-		return true
-	}
-	remainingWait := rq.FirstEventDeadline.Sub(rq.Arrived) / remainingWaitDivisor
-	it := fo.newOwnItem(now, rq)
-	it.placerReq.FirstEventTarget, it.placerReq.FirstEventDeadline = now.Add(remainingWait), now.Add(remainingWait)
-	if address, found := fo.scheduler(now); found {
-		return fo.probeAt(address, it, lead)
-	}
-	ro := fo.newRound(now)
-	for i, li := range fo.service(ro, rq.Service).listings {
-		ro.services[rq.Service].candidates[i].Blocked = ro.services[rq.Service].candidates[i].Blocked || li.ID == lead
-	}
-	return fo.couldPlace(ro, it)
-}
-
 // resumable reports whether a stream may be resumed at another endpoint.
 func (rq *Request) resumable() bool {
 	return rq.Route.Kind == ml.RouteStream && rq.Route.Resumable && rq.possibleRuns+1 < rq.maxAttempts()
@@ -126,6 +111,7 @@
 			fo.recordFirstEvent(rq, pl, now.Sub(sent))
 		}
 		fo.Tracker.RecordEvent(now, pl.flights[0])
+		wd.events.Add(1)
 		wd.Reset(wd.gapTimeout)
 		if err := fo.forwardEvent(rq, rs, an, ev); err != nil {
 			if errors.Is(err, errCallerDisconnected) {
--- a/internal/state/tracker/shared.go
+++ b/internal/state/tracker/shared.go
@@ -12,7 +12,7 @@
 	sf := ml.SharedFlight{
 		ID: fl.ID, Endpoint: fl.Endpoint, SentAgeMs: now.Sub(fl.SentAt).Milliseconds(), PrefillUs: fl.PrefillTime.Microseconds(),
 		DecodeMs: fl.DecodeTime.Milliseconds(), Memory: fl.Memory, FirstEventTargetMs: fl.FirstEventTarget.Sub(now).Milliseconds(),
-		FirstEventDeadlineMs: fl.FirstEventDeadline.Sub(now).Milliseconds(), GapTargetMs: fl.GapTarget.Milliseconds(), Value: fl.Value, Partial: fl.Partial, Helper: fl.Helper,
+		FirstEventDeadlineMs: fl.FirstEventDeadline.Sub(now).Milliseconds(), GapTargetMs: fl.GapTarget.Milliseconds(), Value: fl.Value, Partial: fl.Partial, Helper: fl.Helper, Reserved: fl.Reserved,
 	}
 	if !fl.FirstEventAt.IsZero() {
 		// At least 1, since 0 means that no event has arrived.
@@ -27,7 +27,7 @@
 		ID: sf.ID, Endpoint: sf.Endpoint, SentAt: now.Add(-time.Duration(sf.SentAgeMs) * time.Millisecond),
 		PrefillTime: time.Duration(sf.PrefillUs) * time.Microsecond, DecodeTime: time.Duration(sf.DecodeMs) * time.Millisecond,
 		Memory: sf.Memory, FirstEventTarget: now.Add(time.Duration(sf.FirstEventTargetMs) * time.Millisecond),
-		FirstEventDeadline: now.Add(time.Duration(sf.FirstEventDeadlineMs) * time.Millisecond), GapTarget: time.Duration(sf.GapTargetMs) * time.Millisecond, Value: sf.Value, Partial: sf.Partial, Helper: sf.Helper,
+		FirstEventDeadline: now.Add(time.Duration(sf.FirstEventDeadlineMs) * time.Millisecond), GapTarget: time.Duration(sf.GapTargetMs) * time.Millisecond, Value: sf.Value, Partial: sf.Partial, Helper: sf.Helper, Reserved: sf.Reserved,
 	}
 	if sf.FirstEventAgeMs > 0 {
 		fl.FirstEventAt = now.Add(-time.Duration(sf.FirstEventAgeMs) * time.Millisecond)
@@ -55,7 +55,7 @@
 func EncodePlacementRequest(now time.Time, pr *ml.PlacementRequest) ml.SharedPlacementRequest {
 	return ml.SharedPlacementRequest{
 		SharedQueuedRequest: encodeWaiting(now, pr.QueuedRequest), From: pr.From, Domain: pr.Domain, Excluded: pr.Excluded, Allowed: pr.Allowed,
-		MaxIdleWaitMs: pr.MaxIdleWait.Milliseconds(), IsProbe: pr.IsProbe,
+		MaxIdleWaitMs: pr.MaxIdleWait.Milliseconds(), IsProbe: pr.IsProbe, IsImmediate: pr.IsImmediate,
 	}
 }
 
@@ -63,6 +63,6 @@
 func DecodePlacementRequest(now time.Time, sp *ml.SharedPlacementRequest) ml.PlacementRequest {
 	return ml.PlacementRequest{
 		QueuedRequest: decodeWaiting(now, sp.SharedQueuedRequest), From: sp.From, Domain: sp.Domain, Excluded: sp.Excluded, Allowed: sp.Allowed,
-		MaxIdleWait: time.Duration(sp.MaxIdleWaitMs) * time.Millisecond, IsProbe: sp.IsProbe,
+		MaxIdleWait: time.Duration(sp.MaxIdleWaitMs) * time.Millisecond, IsProbe: sp.IsProbe, IsImmediate: sp.IsImmediate,
 	}
 }
--- a/scheduling.go
+++ b/scheduling.go
@@ -15,8 +15,11 @@
 	Excluded, Allowed []EndpointID
 	// MaxIdleWait is how long the request waits while no endpoint can take it at all.
 	MaxIdleWait time.Duration
-	// IsProbe asks only whether an endpoint could take the request at once.
+	// IsProbe asks only whether an endpoint could take the request at once. Only earlier
+	// releases ask that: the place may be gone by the time that they ask for it.
 	IsProbe bool
+	// IsImmediate asks for a place now or none at all: the request does not wait.
+	IsImmediate bool
 }
 
 // SharedPlacementRequest is a PlacementRequest in a message.
@@ -28,6 +31,7 @@
 	Allowed       []EndpointID `json:"y,omitempty"`
 	MaxIdleWaitMs int64        `json:"w,omitempty"`
 	IsProbe       bool         `json:"t,omitempty"`
+	IsImmediate   bool         `json:"now,omitempty"`
 	// ReplyWithinMs is the time after which the scheduler replies that the request waits,
 	// if it has not decided by then.
 	ReplyWithinMs int64 `json:"n,omitempty"`
--- a/serving.go
+++ b/serving.go
@@ -160,6 +160,7 @@
 	LastEventAt        time.Time     // time of the latest event, initially SentAt
 	Scheduled          bool          // decided by this entry VM for another one
 	Unreported         bool          // other entry VMs are not told of it
+	Reserved           bool          // for a stream that is still at another engine
 }
 
 // QueuedRequest is a request in an entry VM's queue that waits for an engine.
