fix: what messages hold together is bounded, not only each of them

Reported by other operators: a faulty engine sent bytes without end, in a head or in a body; the machine that had called it ran out of memory, and other callers' requests ended with it. Cause: heads, events, answers, bodies and messages of peers had a bound each (those of peers none), and their sum had none; request bodies were admitted after they had been read.

--- a/internal/adapter/exchanger/conn.go
+++ b/internal/adapter/exchanger/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -16,6 +17,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/mulberrylever/mulberrylever/internal/state/bounder"
 )
 
 const (
@@ -25,6 +28,10 @@
 	// maxHeadBytes bounds the heads that are read for one request: that of its answer,
 	// of interim (1xx) answers and of answers to other requests.
 	maxHeadBytes = 128 << 10
+	// maxHeadLines bounds their lines: each takes much more memory than its bytes.
+	maxHeadLines = 512
+	// headCopies is how often the bytes of a head are in memory while it is decoded.
+	headCopies = 2
 	// maxStrayAnswers bounds the answers to other requests that are skipped before
 	// the answer to one request.
 	maxStrayAnswers = 2
@@ -41,11 +48,13 @@
 type conn struct {
 	net.Conn
 	reader       *bufio.Reader
-	bytesWritten atomic.Int64 // of the current request
-	readsHead    bool         // Read is limited to headLeft bytes
-	headLeft     int          // bytes that may still be read as heads
-	expiresAt    time.Time    // no request is sent on it after this time
-	carried      []uint64     // hashes of the ids of the requests that it has carried
+	bytesWritten atomic.Int64     // of the current request
+	readsHead    bool             // Read is limited to headLeft bytes
+	headLeft     int              // bytes that may still be read as heads
+	headLines    int              // lines that were read as heads, and maybe as the body after them
+	message      *bounder.Message // what the heads that were read for the current request hold
+	expiresAt    time.Time        // no request is sent on it after this time
+	carried      []uint64         // hashes of the ids of the requests that it has carried
 }
 
 func newConn(nc net.Conn) *conn {
@@ -62,7 +71,8 @@
 	return slices.Contains(co.carried, xxhash.Sum64String(id))
 }
 
-// errHeadTooLong means that an endpoint sent more than maxHeadBytes without an answer.
+// errHeadTooLong means that an endpoint sent more than maxHeadBytes or maxHeadLines without an
+// answer.
 var errHeadTooLong = errors.New("the head of the answer is too long")
 
 // Read implements io.Reader. While a head is read, it limits the number of bytes: an
@@ -71,11 +81,15 @@
 	if !co.readsHead {
 		return co.Conn.Read(part)
 	}
-	if co.headLeft <= 0 {
+	if co.headLeft <= 0 || co.headLines > maxHeadLines {
 		return 0, errHeadTooLong
 	}
 	n, err := co.Conn.Read(part[:min(len(part), co.headLeft)])
 	co.headLeft -= n
+	co.headLines += bytes.Count(part[:n], []byte("\n"))
+	if full := co.message.Grow(headCopies * n); full != nil {
+		return 0, full
+	}
 	return n, err
 }
 
@@ -135,7 +149,7 @@
 // informational (1xx) answers and answers to other requests, which an endpoint may
 // send late.
 func (co *conn) readAnswer(rq *http.Request, match func(http.Header) bool) (*http.Response, error) {
-	co.headLeft = maxHeadBytes
+	co.headLeft, co.headLines = maxHeadBytes, 0
 	for stray := 0; ; {
 		rs, err := co.readHead(rq)
 		if err != nil {
--- a/internal/adapter/exchanger/exchanger.go
+++ b/internal/adapter/exchanger/exchanger.go
@@ -19,6 +19,7 @@
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/adapter/dialer"
+	"github.com/mulberrylever/mulberrylever/internal/state/bounder"
 )
 
 const (
@@ -57,6 +58,8 @@
 	mu   sync.Mutex
 	idle map[Target][]*conn
 
+	// Bytes bounds what the heads of all answers hold. Nil means no bound.
+	Bytes *bounder.Bounder
 	// OnOpen is called for each new connection. It may be nil.
 	OnOpen func()
 }
@@ -76,6 +79,7 @@
 	if err != nil {
 		return nil, ex.wrap(ta, true, err)
 	}
+	co.message = ex.Bytes.Open(string(ta.Endpoint))
 	stop := co.interruptOn(ctx)
 	writeDone := make(chan error, 1)
 	go co.writeRequest(hr, rq.OnSent, writeDone)
@@ -192,6 +196,7 @@
 
 // release returns a connection to the pool, to be kept idle for the given time.
 func (ex *Exchanger) release(ta Target, co *conn, keep time.Duration) {
+	co.message.Close()
 	co.expiresAt = time.Now().Add(keep)
 	ex.mu.Lock()
 	if keep <= 0 || len(co.carried) >= maxIDsPerConn || len(ex.idle[ta]) >= maxIdlePerTarget || co.reader.Buffered() > 0 {
@@ -208,7 +213,10 @@
 
 // discard closes a connection. The error is ignored, since the connection may have
 // been closed already.
-func (ex *Exchanger) discard(co *conn) { _ = co.Close() }
+func (ex *Exchanger) discard(co *conn) {
+	co.message.Close()
+	_ = co.Close()
+}
 
 // Sweep closes the idle connections that have expired and those to targets that are
 // no longer wanted.
--- a/internal/adapter/messenger/messenger.go
+++ b/internal/adapter/messenger/messenger.go
@@ -18,6 +18,7 @@
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/adapter/requester"
+	"github.com/mulberrylever/mulberrylever/internal/state/bounder"
 )
 
 // The JSON-RPC methods between entry VMs.
@@ -48,6 +49,8 @@
 	// may no longer receive anything on it.
 	DropOnTimeout bool
 	Log           *slog.Logger // gets the messages of the JSON-RPC library; may be nil
+	// Bytes bounds what the messages that are being received hold. Nil means no bound.
+	Bytes *bounder.Bounder
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -210,7 +213,7 @@
 		return nil, err
 	}
 	// The connection outlives the call that opened it.
-	pe.conn = jsonrpc2.NewConn(context.Background(), newObjectStream(nc), noHandler{}, jsonrpc2.SetLogger(libraryLogger{me.Log}))
+	pe.conn = jsonrpc2.NewConn(context.Background(), newObjectStream(nc, me.Bytes), noHandler{}, jsonrpc2.SetLogger(libraryLogger{me.Log}))
 	return pe.conn, nil
 }
 
@@ -265,10 +268,6 @@
 // Handle implements jsonrpc2.Handler.
 func (noHandler) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
 
-func newObjectStream(nc net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(nc, jsonrpc2.VarintObjectCodec{})
-}
-
 func wrap(method, address string, err error) error {
 	return &ml.Error{Type: ml.ErrUnavailable, Step: method, Peer: address, Err: err}
 }
--- a/internal/adapter/messenger/packer.go
+++ b/internal/adapter/messenger/packer.go
@@ -10,6 +10,7 @@
 	"sync"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/state/bounder"
 )
 
 const (
@@ -58,7 +59,10 @@
 }
 
 // Unpack decodes a packed message.
-func Unpack(em ml.EncodedMessage) (ml.ShareMessage, error) {
+func Unpack(em ml.EncodedMessage) (ml.ShareMessage, error) { return unpack(em, nil) }
+
+// unpack is Unpack with a bound on what the message holds.
+func unpack(em ml.EncodedMessage, me *bounder.Message) (ml.ShareMessage, error) {
 	sh := ml.ShareMessage{}
 	if len(em) == 0 {
 		return sh, errors.New("message: empty")
@@ -68,13 +72,16 @@
 	case formatPlain:
 	case formatDeflated:
 		var err error
-		plain, err = io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(plain)), maxUnpackedBytes))
+		plain, err = bounder.ReadAll(flate.NewReader(bytes.NewReader(plain)), me, maxUnpackedBytes)
 		if err != nil {
 			return sh, fmt.Errorf("message: %w", err)
 		}
 	default:
 		return sh, fmt.Errorf("message: unknown form %d", em[0])
 	}
+	if err := me.Grow(decodingCopies * len(plain)); err != nil {
+		return sh, fmt.Errorf("message: %w", err)
+	}
 	if err := json.Unmarshal(plain, &sh); err != nil {
 		return sh, fmt.Errorf("message: %w", err)
 	}
--- a/internal/adapter/messenger/server.go
+++ b/internal/adapter/messenger/server.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/state/bounder"
 )
 
 // Server serves the requests of other entry VMs.
@@ -23,6 +24,8 @@
 	// ConfirmHandler tells others how new what is known of the store is; nil to tell nothing.
 	ConfirmHandler ml.ConfirmHandler
 	Log            *slog.Logger // gets the messages of the JSON-RPC library; may be nil
+	// Bytes bounds what the messages that are being received hold. Nil means no bound.
+	Bytes *bounder.Bounder
 
 	recordsReplies atomic.Int64 // under way
 }
@@ -40,13 +43,16 @@
 		if err != nil {
 			return fmt.Errorf("accept peer connection: %w", err)
 		}
-		jsonrpc2.NewConn(context.Background(), newObjectStream(nc), &session{se}, jsonrpc2.SetLogger(libraryLogger{se.Log}))
+		jsonrpc2.NewConn(context.Background(), newObjectStream(nc, se.Bytes), &session{se, remoteHost(nc)}, jsonrpc2.SetLogger(libraryLogger{se.Log}))
 	}
 }
 
 // session handles the requests of one connection, in the order in which they
 // arrive. Only those that may wait for a decision run concurrently.
-type session struct{ *Server }
+type session struct {
+	*Server
+	sender string
+}
 
 // Handle implements jsonrpc2.Handler.
 func (ss *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
@@ -120,8 +126,11 @@
 	if !decodeParams(ctx, conn, rq, &sp) {
 		return
 	}
-	sh, err := Unpack(sp.Shared)
+	me := ss.Bytes.Open(ss.sender)
+	defer me.Close()
+	sh, err := unpack(sp.Shared, me)
 	if err != nil {
+		libraryLogger{ss.Log}.Printf("message of %s: %v", ss.sender, err)
 		_ = conn.ReplyWithError(ctx, rq.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()})
 		return
 	}
--- a/internal/decision/admitter/admitter.go
+++ b/internal/decision/admitter/admitter.go
@@ -51,11 +51,8 @@
 	if maxInFlight > 0 && te.requests >= maxInFlight {
 		return nil, ad.refuse(ml.ErrOverloaded, "team %q has %d requests under way, its limit", id, maxInFlight)
 	}
-	if te.bytes+bytes > ad.MaxBytes/teamBytesDivisor {
-		return nil, ad.refuse(ml.ErrOverloaded, "requests of team %q hold %d bytes, its limit is %d", id, te.bytes, ad.MaxBytes/teamBytesDivisor)
-	}
-	if ad.bytes+bytes > ad.MaxBytes {
-		return nil, ad.refuse(ml.ErrOverloaded, "requests under way hold %d bytes, the limit is %d", ad.bytes, ad.MaxBytes)
+	if err := ad.checkBytes(id, bytes); err != nil {
+		return nil, err
 	}
 	if ad.teams == nil {
 		ad.teams = make(map[ml.TeamID]team)
@@ -66,6 +63,35 @@
 	return &Ticket{ad: ad, team: id, bytes: bytes}, nil
 }
 
+// checkBytes returns an error if a team's requests must not hold more bytes. The caller must hold
+// ad.mu.
+func (ad *Admitter) checkBytes(id ml.TeamID, bytes int64) error {
+	te := ad.teams[id]
+	if te.bytes+bytes > ad.MaxBytes/teamBytesDivisor {
+		return ad.refuse(ml.ErrOverloaded, "requests of team %q hold %d bytes, its limit is %d", id, te.bytes, ad.MaxBytes/teamBytesDivisor)
+	}
+	if ad.bytes+bytes > ad.MaxBytes {
+		return ad.refuse(ml.ErrOverloaded, "requests under way hold %d bytes, the limit is %d", ad.bytes, ad.MaxBytes)
+	}
+	return nil
+}
+
+// Grow admits n bytes more of the request's body, as it is read. It must not be called after
+// Release.
+func (ti *Ticket) Grow(n int) error {
+	ad := ti.ad
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	if err := ad.checkBytes(ti.team, int64(n)); err != nil {
+		return err
+	}
+	ti.bytes += int64(n)
+	ad.bytes += int64(n)
+	te := ad.teams[ti.team]
+	ad.teams[ti.team] = team{te.requests, te.bytes + int64(n)}
+	return nil
+}
+
 // Release releases the admission. Further calls have no effect.
 func (ti *Ticket) Release() {
 	ti.once.Do(func() {
--- a/internal/duty/forwarder/attempt.go
+++ b/internal/duty/forwarder/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/state/bounder"
 )
 
 const (
@@ -82,7 +83,7 @@
 	case an.Status/100 == 2 && rq.Route.Kind == ml.RouteStream:
 		return fo.forwardStream(ctx, rq, rs, pl, an, wd, sent)
 	}
-	return fo.forwardBuffered(rq, rs, an)
+	return fo.forwardBuffered(rq, rs, pl, an)
 }
 
 // outgoing returns the request as it is sent to an endpoint.
@@ -108,28 +109,40 @@
 }
 
 // forwardBuffered reads a response completely and forwards it if it is not
-// truncated. A server error of the endpoint is returned in the result, and is
+// truncated. One that is too long for that, or for which there is no memory, is
+// forwarded while it is read. A server error of the endpoint is returned in the result, and is
 // forwarded only if no later attempt succeeds.
-func (fo *Forwarder) forwardBuffered(rq *Request, rs ml.Responder, an *ml.Answer) attemptResult {
+func (fo *Forwarder) forwardBuffered(rq *Request, rs ml.Responder, pl *placement, an *ml.Answer) attemptResult {
 	if an.Status/100 == 2 && !an.Sealed {
 		return attemptResult{received: true, reason: "answer without receipt", err: errNoSeal}
 	}
-	body, err := io.ReadAll(io.LimitReader(an.Body, maxBufferedBytes))
-	if err != nil {
+	me := fo.Bytes.Open(string(pl.lead.ID))
+	body, err := bounder.ReadAll(an.Body, me, maxBufferedBytes)
+	br := &bufferedResponse{status: an.Status, header: an.Header, body: body, message: me}
+	ar := fo.forwardBody(rq, rs, an, br, err)
+	if ar.errorResponse != br {
+		me.Close()
+	}
+	return ar
+}
+
+// forwardBody forwards a body that was read up to its end, or up to what it may hold.
+func (fo *Forwarder) forwardBody(rq *Request, rs ml.Responder, an *ml.Answer, br *bufferedResponse, err error) attemptResult {
+	isLong := len(br.body) == maxBufferedBytes || errors.Is(err, bounder.ErrFull)
+	if err != nil && !isLong {
 		return attemptResult{received: true, reason: "answer broke off", err: err}
 	}
-	if len(body) == maxBufferedBytes && (an.Status >= http.StatusInternalServerError || impliesNotRun(an.Status)) {
+	if isLong && (an.Status >= http.StatusInternalServerError || impliesNotRun(an.Status)) {
 		return attemptResult{received: true, reason: "status " + strconv.Itoa(an.Status) + " with a body too long", err: errEndpointFailure}
 	}
-	if len(body) == maxBufferedBytes {
+	if isLong {
 		fo.recordAnswered(rq, an)
-		return fo.forwardLong(rq, rs, an, body)
+		return fo.forwardLong(rq, rs, an, br.body)
 	}
-	if an.Length >= 0 && an.Length != int64(len(body)) {
+	if an.Length >= 0 && an.Length != int64(len(br.body)) {
 		return attemptResult{received: true, reason: "answer broke off", err: io.ErrUnexpectedEOF}
 	}
 	fo.recordAnswered(rq, an)
-	br := &bufferedResponse{status: an.Status, header: an.Header, body: body}
 	switch {
 	case impliesNotRun(an.Status):
 		return attemptResult{received: true, reason: "status " + strconv.Itoa(an.Status) + " without a promise", err: errEndpointFailure}
--- a/internal/duty/forwarder/carry.go
+++ b/internal/duty/forwarder/carry.go
@@ -78,7 +78,7 @@
 		// This entry VM has accepted the request, so an endpoint has to say what is wrong with it.
 		return attemptResult{received: true, reason: "status " + strconv.Itoa(an.Status) + " of " + address, err: errEndpointFailure}
 	}
-	return fo.forwardBuffered(rq, rs, an)
+	return fo.forwardBuffered(rq, rs, pl, an)
 }
 
 // idleWatchdog returns a watchdog without effect: the entry VM that carries a request
--- a/internal/duty/forwarder/event.go
+++ b/internal/duty/forwarder/event.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/state/bounder"
 )
 
 // maxEventBytes bounds the size of one event of a stream.
@@ -22,12 +23,19 @@
 	hasData bool
 }
 
-// readEvent reads the next event. It returns io.EOF at the end of the stream,
-// and another error if the stream ends within an event.
-func readEvent(in *bufio.Reader) (event, error) {
+// eventCopies is how often the bytes of an event are in memory, with those that its buffer has to
+// spare.
+const eventCopies = 2
+
+// readEvent reads the next event, which the message of a stream then holds. It returns io.EOF at
+// the end of the stream, and another error if the stream ends within an event.
+func readEvent(in *bufio.Reader, me *bounder.Message) (event, error) {
 	ev := event{}
 	for {
 		line, err := in.ReadSlice('\n')
+		if full := me.Grow(eventCopies * len(line)); full != nil {
+			return ev, full
+		}
 		ev.raw = append(ev.raw, line...)
 		if errors.Is(err, bufio.ErrBufferFull) && len(ev.raw) <= maxEventBytes {
 			continue
--- a/internal/duty/forwarder/event_test.go
+++ b/internal/duty/forwarder/event_test.go
@@ -19,17 +19,17 @@
 	g := gomega.NewWithT(t)
 	long := strings.Repeat("y", 10_000)
 	in := bufio.NewReaderSize(strings.NewReader("id: 7\ndata: x\n\ndata: "+long+"\r\n\r\nid: 9\nda"), 16)
-	ev, err := readEvent(in)
+	ev, err := readEvent(in, nil)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(ev.id).To(gomega.Equal(ml.EventID(7)))
 	g.Expect(string(ev.raw)).To(gomega.Equal("id: 7\ndata: x\n\n"))
-	ev, err = readEvent(in)
+	ev, err = readEvent(in, nil)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(ev.hasID).To(gomega.BeFalse())
 	g.Expect(ev.raw).To(gomega.HaveLen(len(long) + 10))
-	_, err = readEvent(in)
+	_, err = readEvent(in, nil)
 	g.Expect(err).To(gomega.MatchError(io.ErrUnexpectedEOF))
-	_, err = readEvent(bufio.NewReader(strings.NewReader("id: x\n\n")))
+	_, err = readEvent(bufio.NewReader(strings.NewReader("id: x\n\n")), nil)
 	g.Expect(err).To(gomega.HaveOccurred())
 }
 
@@ -41,7 +41,7 @@
 		in := bufio.NewReaderSize(bytes.NewReader(data), 16)
 		out := []byte{}
 		for {
-			ev, err := readEvent(in)
+			ev, err := readEvent(in, nil)
 			if errors.Is(err, io.EOF) {
 				break
 			}
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -21,6 +21,7 @@
 	"github.com/mulberrylever/mulberrylever/internal/decision/divider"
 	"github.com/mulberrylever/mulberrylever/internal/decision/pauser"
 	"github.com/mulberrylever/mulberrylever/internal/decision/reacher"
+	"github.com/mulberrylever/mulberrylever/internal/state/bounder"
 	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
 	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
 )
@@ -81,6 +82,7 @@
 	Attributor *attributor.Attributor
 	Reacher    *reacher.Reacher
 	Pauser     pauser.Pauser
+	Bytes      *bounder.Bounder // what answers hold until they are forwarded; nil for no bound
 	Log        *slog.Logger
 	Metrics    Meter
 	// Carrier hands requests to other entry VMs. Nil means that there are none.
@@ -165,9 +167,17 @@
 
 // bufferedResponse is a complete response of an endpoint.
 type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
+	status  int
+	header  http.Header
+	body    []byte
+	message *bounder.Message // what it holds
+}
+
+// release gives back what a result holds that is not forwarded any more.
+func (ar *attemptResult) release() {
+	if ar.errorResponse != nil {
+		ar.errorResponse.message.Close()
+	}
 }
 
 // Forward serves a request. When it returns, the caller has the final response or
@@ -194,6 +204,7 @@
 			fo.Log.Info("again", "request", rq.Outgoing.Attempt, "sends", rq.sendCount, "runs", rq.possibleRuns, "after", rq.lastEventID,
 				"notRun", ar.notRun, "reason", ar.reason, "error", ar.err)
 		}
+		ar.release()
 	}
 	took := time.Since(rq.Arrived)
 	fo.Metrics.Finished(rq, outcome, took)
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -14,6 +14,7 @@
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/state/bounder"
 )
 
 const (
@@ -90,9 +91,12 @@
 	if !an.Sealed {
 		return attemptResult{received: true, reason: "stream without receipt", err: errNoSeal}
 	}
+	me := fo.Bytes.Open(string(pl.lead.ID))
+	defer me.Close()
 	in := bufio.NewReader(an.Body)
 	for events := 0; ; events++ {
-		ev, err := rq.nextEvent(in)
+		me.Reset() // the event before has been forwarded
+		ev, err := rq.nextEvent(in, me)
 		if events == minBegunEvents || events > 0 && errors.Is(err, io.EOF) {
 			fo.recordBegun(time.Now(), rq)
 		}
@@ -146,10 +150,10 @@
 // nextEvent reads the next event that the caller does not have yet. Comments and blank
 // lines before it are returned with it, so that they are forwarded only if an event
 // follows. At the end of the stream they are returned with io.EOF.
-func (rq *Request) nextEvent(in *bufio.Reader) (event, error) {
+func (rq *Request) nextEvent(in *bufio.Reader, me *bounder.Message) (event, error) {
 	idle, idleBytes := []byte{}, 0
 	for {
-		ev, err := readEvent(in)
+		ev, err := readEvent(in, me)
 		switch {
 		case errors.Is(err, io.EOF):
 			return event{raw: idle}, err
