refactor: a change of era records no departures

The order of an engine's entries by their heartbeat number keeps it as leaving, here and at an entry VM that starts in the gap and hears it from this one; a departure, which is never taken back, is not needed for that.

--- a/internal/state/cataloger/endpoint.go
+++ b/internal/state/cataloger/endpoint.go
@@ -106,11 +106,6 @@
 func (ca *Cataloger) RecordDeparture(now time.Time, de ml.Departure) bool {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	return ca.recordDeparture(now, de)
-}
-
-// recordDeparture is RecordDeparture. The caller must hold ca.mu.
-func (ca *Cataloger) recordDeparture(now time.Time, de ml.Departure) bool {
 	if _, known := ca.departures[de]; known {
 		return false
 	}
--- a/internal/state/cataloger/era.go
+++ b/internal/state/cataloger/era.go
@@ -41,20 +41,9 @@
 		return // the first answer
 	}
 	ca.eraSince = now
-	ca.keepDepartures(now)
 	ca.Log.Warn("the store has come back from an older copy", "era", era, "before", before, "source", so, "positions", ca.read, "endpoints", len(ca.endpoints), "version", ca.version())
 }
 
-// keepDepartures records the endpoints that leave as such: the copy may show them as live.
-// The caller must hold ca.mu.
-func (ca *Cataloger) keepDepartures(now time.Time) {
-	for id, li := range ca.endpoints {
-		if li.State == ml.StateLeaving && li.RemovedAt.IsZero() {
-			ca.recordDeparture(now, ml.Departure{Endpoint: id, Incarnation: li.Incarnation})
-		}
-	}
-}
-
 // version returns the version of the configuration in force. The caller must hold ca.mu.
 func (ca *Cataloger) version() ml.Version {
 	if ca.config == nil {
