model: a store that comes back from older copies

The version in force never falls and the newest one comes into force, over two returns from any copy.

--- a/model/run.sh
+++ b/model/run.sh
@@ -36,4 +36,7 @@
 check holds share.pml
 check rejected share.pml -DNO_SETTLE
 check rejected share.pml -DNO_RETENTION
-[ "$failed" -eq 0 ] && echo "model: 13 passed, 0 failed" || { echo "model: FAILED"; exit 1; }
+check holds era.pml
+check rejected era.pml -DNO_ERA
+check rejected era.pml -DNO_VERSION
+[ "$failed" -eq 0 ] && echo "model: 16 passed, 0 failed" || { echo "model: FAILED"; exit 1; }
