fix: engines count as gone after a return of the store only when it was read after their time

Callers: after a store that had come back from an older copy went away once more, all engines counted as gone 2 s after the first listing, and requests were refused until it was back. Cause: the time within which engines write their entries again ran while nobody could read them; and entry VMs that don't read the store get no heartbeats, so that theirs ran too. Fix: an entry of an earlier era is dropped only by an entry VM that has read the topic after that time; it passes the deletion on, as it does the first entry of an engine in a new era.

--- a/internal/state/cataloger/endpoint.go
+++ b/internal/state/cataloger/endpoint.go
@@ -10,7 +10,8 @@
 
 // applyEndpoint applies an endpoint's record and reports whether it changes the
 // catalog. A record that differs from the last one only in its sequence number
-// does not.
+// does not, but for the first one of an era: entry VMs that don't read the store
+// learn from it that the endpoint is still listed.
 func (ca *Cataloger) applyEndpoint(now time.Time, re ml.KeyRecord) bool {
 	if ca.endpoints == nil {
 		ca.endpoints = make(map[ml.EndpointID]Listing)
@@ -32,7 +33,7 @@
 	}
 	ca.endpoints[id] = li
 	old.Sequence = ep.Sequence
-	if listed && old.RemovedAt.IsZero() && old.ListedEndpoint == ep {
+	if listed && old.RemovedAt.IsZero() && old.ListedEndpoint == ep && old.Era == re.Era {
 		return false
 	}
 	ca.Log.Info("endpoint", "endpoint", id, "state", ep.State, "service", ep.Service, "domain", ep.Domain,
@@ -91,7 +92,7 @@
 	if _, leaves := ca.departures[ml.Departure{Endpoint: id, Incarnation: li.Incarnation}]; leaves {
 		return false
 	}
-	if ca.isOutdated(now, li.Topic, li.Era, endpointRewriteTime) {
+	if ca.isOutdated(li.Topic, li.Era, endpointRewriteTime) {
 		return false
 	}
 	if li.RemovedAt.IsZero() {
--- a/internal/state/cataloger/era.go
+++ b/internal/state/cataloger/era.go
@@ -120,32 +120,34 @@
 	return since < endpointRewriteTime || ca.configEra < ca.era && since < operatorRewriteTime
 }
 
-// isOutdated reports whether a record is of an earlier era than the newest listing of its topic,
-// and whoever wrote it has had the time to write it again. The caller must hold ca.mu.
-func (ca *Cataloger) isOutdated(now time.Time, to ml.TopicName, era ml.Era, rewriteTime time.Duration) bool {
-	return era < ca.listedFrom[to].Era && ml.Age(now, ca.relistedAt[to]) >= rewriteTime
+// isOutdated reports whether a record is of an earlier era than the newest listing of its topic, and
+// this entry VM has read the topic after whoever wrote it has had the time to write it again. One that
+// doesn't read the topic goes by the deletions of those that do. The caller must hold ca.mu.
+func (ca *Cataloger) isOutdated(to ml.TopicName, era ml.Era, rewriteTime time.Duration) bool {
+	return era < ca.listedFrom[to].Era && !ca.readAt[to].Before(ca.relistedAt[to].Add(rewriteTime))
 }
 
 // DropOutdated deletes the keys that the store has lost and that nobody has written again in
-// time. The configuration stays.
+// time. The configuration stays. The deletions are passed to OnStoreRecords.
 func (ca *Cataloger) DropOutdated(now time.Time) {
 	ca.mu.Lock()
 	deletions := []ml.KeyRecord{}
 	for to, keys := range ca.records {
 		for key, re := range keys {
-			if re.Value != nil && ca.isDropped(now, re) {
+			if re.Value != nil && ca.isDropped(re) {
 				deletions = append(deletions, deletion(to, key, ca.listedFrom[to]))
 			}
 		}
 	}
 	ca.mu.Unlock()
-	if len(deletions) > 0 {
-		ca.Merge(now.Add(-ca.RemovalGrace), deletions, nil) // they had their time
+	changed := ca.Merge(now.Add(-ca.RemovalGrace), deletions, nil) // they had their time
+	if len(changed) > 0 && ca.OnStoreRecords != nil {
+		ca.OnStoreRecords(changed)
 	}
 }
 
 // isDropped reports whether DropOutdated deletes the key of a record. The caller must hold ca.mu.
-func (ca *Cataloger) isDropped(now time.Time, re ml.KeyRecord) bool {
+func (ca *Cataloger) isDropped(re ml.KeyRecord) bool {
 	if re.Era >= ca.listedFrom[re.Topic].Era {
 		return false
 	}
@@ -156,5 +158,5 @@
 	if li, found := ca.endpoints[ml.EndpointID(re.Key)]; found && li.Topic == re.Topic {
 		rewriteTime = endpointRewriteTime
 	}
-	return ca.isOutdated(now, re.Topic, re.Era, rewriteTime)
+	return ca.isOutdated(re.Topic, re.Era, rewriteTime)
 }
--- a/internal/state/cataloger/era_test.go
+++ b/internal/state/cataloger/era_test.go
@@ -112,6 +112,7 @@
 			rt.Fatalf("version %d is in force, want %d", got, version+1)
 		}
 		later := start.Add(time.Hour)
+		ca.RecordRead(later, later, "t") // nothing was written again
 		ca.DropOutdated(later)
 		for _, li := range ca.Usable(later, "s") {
 			if !listed[string(li.ID)] {
