fix: an entry VM that knows the store in no era gets all records of the first one

Cause: it had taken over what an old build knew, in no era, then what a new one knew of era 1. That one took a position without an era for one of an old build, and sent only records after its offset; the others counted as not written again and were dropped 2 s later. Fix: offsets of earlier releases have an era of their own, UnknownEra; a position in no era is before all of the first one.

--- a/ids.go
+++ b/ids.go
@@ -95,6 +95,9 @@
 // does not state it.
 type Era int64
 
+// UnknownEra is that of the offsets of entry VMs of earlier releases.
+const UnknownEra Era = -1
+
 // Position is a place in a topic of the platform's store: offsets of different eras can't be
 // compared.
 type Position struct {
--- a/internal/adapter/messenger/server.go
+++ b/internal/adapter/messenger/server.go
@@ -98,7 +98,7 @@
 	offsets := map[ml.TopicName]ml.Offset{}
 	ok := decodeParams(ctx, conn, rq, &offsets)
 	for to, offset := range offsets {
-		from[to] = ml.Position{Offset: offset}
+		from[to] = ml.Position{Era: ml.UnknownEra, Offset: offset}
 	}
 	return from, ok
 }
--- a/internal/adapter/messenger/share_test.go
+++ b/internal/adapter/messenger/share_test.go
@@ -225,7 +225,7 @@
 	defer func() { _ = earlier.Close() }()
 	records := []ml.KeyRecord{}
 	g.Expect(earlier.Call(context.Background(), "records", map[ml.TopicName]ml.Offset{"t": 3}, &records)).To(gomega.Succeed())
-	g.Expect(records).To(gomega.Equal(sh.OnRecords(from).Records))
+	g.Expect(records).To(gomega.Equal(sh.OnRecords(map[ml.TopicName]ml.Position{"t": {Era: ml.UnknownEra, Offset: 3}}).Records))
 }
 
 // FuzzUnpack checks that arbitrary bytes of a peer don't make Unpack panic, and that
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -370,8 +370,8 @@
 	out.SetPositions(ca.nextPositions(), ca.listedFrom)
 	for to, keys := range ca.records {
 		start := from[to]
-		if start.Era == 0 {
-			start.Era = ca.listedFrom[to].Era // the other entry VM knows of no eras
+		if start.Era == ml.UnknownEra {
+			start.Era = ca.listedFrom[to].Era
 		}
 		for _, re := range keys {
 			if re.Position().Compare(start) >= 0 || re.Era < ca.listedFrom[to].Era {
--- a/internal/state/cataloger/era_test.go
+++ b/internal/state/cataloger/era_test.go
@@ -161,3 +161,37 @@
 	ca.MergeFromStore(start, "t", nil, earlier)
 	g.Expect(ca.ReadPosition("t")).To(gomega.Equal(later.end()), "an answer that comes late")
 }
+
+// TestAdoptedFromEarlierRelease guards against an entry VM that has taken over all that one of an
+// earlier release knew, in no era, and drops most engines when it hears of the first era: it must get
+// all records of that, and one of an earlier release those after its offsets alone.
+func TestAdoptedFromEarlierRelease(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ks := &keyedStore{era: 1}
+	ks.put("config", "1")
+	ks.put("e1", "live@d#1")
+	ks.put("e2", "live@d#2")
+	records, listed := ks.listing()
+	current := newCountedCataloger()
+	current.MergeFirstListing(start, "t", records, ks.end())
+	current.DeleteUnlisted(start, "t", listed, ks.end())
+
+	ca := newCountedCataloger()
+	earlier := ml.RecordsReply{
+		Records:     []ml.KeyRecord{record("config", "1", 0), record("e1", "live@d#1", 1), record("e2", "live@d#2", 2)},
+		NextOffsets: map[ml.TopicName]ml.Offset{"t": 3}, ListedFrom: map[ml.TopicName]ml.Offset{"t": 0},
+	}
+	ca.Merge(start, earlier.Records, earlier.Covered(nil))
+	ca.Adopt(start, &earlier)
+	reply := current.RecordsFrom(ca.NextPositions())
+	ca.Merge(start, reply.Records, reply.Covered(ca.NextPositions()))
+	ca.Adopt(start, &reply)
+	later := start.Add(time.Hour)
+	ca.RecordRead(later, later, "t")
+	ca.DropOutdated(later)
+	g.Expect(ca.Usable(later, "s")).To(gomega.HaveLen(2))
+	g.Expect(ca.ReadPosition("t")).To(gomega.Equal(ks.end()))
+
+	asked := map[ml.TopicName]ml.Position{"t": {Era: ml.UnknownEra, Offset: 2}}
+	g.Expect(current.RecordsFrom(asked).Records).To(gomega.HaveLen(1))
+}
