fix: the forecast of a wait counts on the growth of a warm endpoint's window

Cause of these: the wait for a slot was told by the window as it is. The window of a warm endpoint grows with each answer, so that twice as many requests are granted in each service time. Fix: the forecast counts on that growth, up to the endpoint's maximum. A cold endpoint's window doesn't grow.

--- a/internal/decision/granter/granter.go
+++ b/internal/decision/granter/granter.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
@@ -121,8 +122,18 @@
 	if ahead < freeSlots {
 		return prefill
 	}
-	turns := float64(ahead-freeSlots+1) / float64(max(gr.Limiter.Window(now), 1))
-	return prefill + time.Duration(turns*float64(gr.meanServiceTime))
+	return prefill + gr.slotWait(now, ahead-freeSlots+1)
+}
+
+// slotWait estimates the time until a number of slots have become free. Each answer frees one, and
+// while the window grows it adds another, so that their number doubles in each service time.
+func (gr *Granter) slotWait(now time.Time, slots int) time.Duration {
+	const slotsPerAnswer = 2 // while the window grows
+	window := float64(max(gr.Limiter.Window(now), 1))
+	growth := min(float64(slots)/slotsPerAnswer, float64(gr.Limiter.Growth(now)))
+	rest := float64(slots) - slotsPerAnswer*growth
+	turns := math.Log2(1+growth/window) + rest/(window+growth)
+	return time.Duration(turns * float64(gr.meanServiceTime))
 }
 
 // GrantNext grants the next request that the endpoint can take. The second
--- a/internal/decision/granter/granter_test.go
+++ b/internal/decision/granter/granter_test.go
@@ -168,3 +168,54 @@
 	}
 	return d
 }
+
+// TestWaitWhileWindowGrows guards against refusals of requests that would be served in time: the
+// wait that is estimated must be the one that a long queue really has.
+func TestWaitWhileWindowGrows(t *testing.T) {
+	const (
+		serviceTime = 500 * time.Millisecond // as a granter assumes at first
+		step        = 5 * time.Millisecond
+		tolerance   = serviceTime // the first answers end together here, and at any time elsewhere
+	)
+	for _, queued := range []int{3, 10, 30, 100, 200} {
+		gr := granter.New(ml.Endpoint{ID: "e", Kind: ml.KindService, MaxRequests: 32, ColdRequests: 8}, ml.DefaultTiming(), 1)
+		for range 16 { // the answers that make it warm
+			gr.Release(start, "", ml.OutcomeCompleted)
+		}
+		last := granter.Request{ID: "last", Deadline: start.Add(time.Hour)}
+		for i := range queued {
+			rq := last
+			rq.ID = ml.GrantID(fmt.Sprint(i))
+			if err := gr.Enqueue(start, rq); err != nil {
+				t.Fatal(err)
+			}
+		}
+		want := gr.EstimateWait(start, last)
+		if err := gr.Enqueue(start, last); err != nil {
+			t.Fatal(err)
+		}
+		got := waitOf(gr, last.ID, serviceTime, step)
+		if (got - want).Abs() > tolerance {
+			t.Errorf("%d queued: a wait of %v was estimated, it was %v", queued, want, got)
+		}
+	}
+}
+
+// waitOf serves each request for a time, and returns after which one of them is granted.
+func waitOf(gr *granter.Granter, id ml.GrantID, serviceTime, step time.Duration) time.Duration {
+	ends := make(map[ml.GrantID]time.Time)
+	for now := start; ; now = now.Add(step) {
+		for done, at := range ends {
+			if !now.Before(at) {
+				gr.Release(now, done, ml.OutcomeCompleted)
+				delete(ends, done)
+			}
+		}
+		for rq, found := gr.GrantNext(now); found; rq, found = gr.GrantNext(now) {
+			gr.Confirm(now, rq.ID, "")
+			if ends[rq.ID] = now.Add(serviceTime); rq.ID == id {
+				return now.Sub(start)
+			}
+		}
+	}
+}
--- a/internal/decision/limiter/limiter.go
+++ b/internal/decision/limiter/limiter.go
@@ -46,6 +46,14 @@
 	return min(li.window, li.Endpoint.MaxRequests)
 }
 
+// Growth returns by how many requests the window may still grow, one with each answer.
+func (li *Limiter) Growth(now time.Time) int {
+	if li.Cold(now) {
+		return 0
+	}
+	return max(li.Endpoint.MaxRequests-li.Window(now), 0)
+}
+
 // MaxUnconfirmed returns the maximum number of requests that are sent but not yet
 // accepted by the endpoint. It bounds the requests that reach a restarted endpoint
 // before the restart is detected: at most twice this number, since confirmations of
