fix: a wait that was given up for other endpoints is taken up again when these are gone

Callers: a prompt was refused, "no grant within the time allowed for waiting", with 4.7 s left and two of three engines well (prover, "wholeAnswer holds": 3 of 48 runs beside 12 busy processes and 7 fleets more). Cause, traced in two of these runs: it waited 0.8 s at one engine and 2.5 s at the next, each time only as long as others were left; the third had been killed meanwhile. Time-outs counted as final refusals. Fix: after such a wait the owner answers "busy" with the wait that it predicts now, as it does when it predicts too long a wait at first. The holder then goes back to the shortest one and waits for it as long as the deadline allows. Red before: TestWaitTimesOut. Only serve uses it.

--- a/internal/duty/owner/endpoint.go
+++ b/internal/duty/owner/endpoint.go
@@ -97,7 +97,7 @@
 	case <-timeout.C:
 	case <-ctx.Done():
 	}
-	return eg.withdraw(re.ID, answer)
+	return eg.withdraw(time.Now(), re, answer)
 }
 
 func (eg *endpointGranter) enqueue(now time.Time, re ml.Reservation) (chan ml.Grant, ml.Grant) {
@@ -109,15 +109,8 @@
 	if reason := eg.unavailableReason(now); reason != "" {
 		return nil, ml.Grant{Type: ml.ErrUnavailable, Reason: reason}
 	}
-	rq := granter.Request{
-		ID: re.ID, Holder: re.Holder, Team: re.Team, Weight: re.Weight, Length: re.Length, Prompt: re.Prompt,
-		Cached: re.Cached, Memory: re.Memory, Member: re.Member,
-		Deadline:    now.Add(time.Duration(re.DeadlineMs) * time.Millisecond),
-		MinDuration: time.Duration(re.MinDurationMs) * time.Millisecond,
-		MaxWait:     time.Duration(re.MaxPredictedWaitMs) * time.Millisecond,
-	}
 	var refused *granter.RefusalError
-	if err := eg.granter.Enqueue(now, rq); errors.As(err, &refused) {
+	if err := eg.granter.Enqueue(now, newRequest(now, re)); errors.As(err, &refused) {
 		gr := ml.Grant{Type: ml.ErrOverloaded, Reason: refused.Reason, RetryAfterMs: refused.RetryAfter.Milliseconds()}
 		if refused.Busy {
 			gr.Type = ml.ErrBusy
@@ -130,21 +123,37 @@
 	return answer, ml.Grant{}
 }
 
+// newRequest returns a reservation as the granter's input.
+func newRequest(now time.Time, re ml.Reservation) granter.Request {
+	return granter.Request{
+		ID: re.ID, Holder: re.Holder, Team: re.Team, Weight: re.Weight, Length: re.Length, Prompt: re.Prompt,
+		Cached: re.Cached, Memory: re.Memory, Member: re.Member,
+		Deadline:    now.Add(time.Duration(re.DeadlineMs) * time.Millisecond),
+		MinDuration: time.Duration(re.MinDurationMs) * time.Millisecond,
+		MaxWait:     time.Duration(re.MaxPredictedWaitMs) * time.Millisecond,
+	}
+}
+
 // withdraw removes a request from the queue. A grant made in the meantime is
-// ended unused.
-func (eg *endpointGranter) withdraw(id ml.GrantID, answer chan ml.Grant) ml.Grant {
+// ended unused. A holder that goes on to other endpoints learns how long it
+// would wait here: they may be gone by then.
+func (eg *endpointGranter) withdraw(now time.Time, re ml.Reservation, answer chan ml.Grant) ml.Grant {
 	eg.mu.Lock()
 	defer eg.mu.Unlock()
 	select {
 	case gr := <-answer:
 		if gr.Granted {
-			eg.granter.Withdraw(id)
+			eg.granter.Withdraw(re.ID)
 		}
 	default:
-		eg.granter.Withdraw(id)
-		delete(eg.pending, id)
+		eg.granter.Withdraw(re.ID)
+		delete(eg.pending, re.ID)
+	}
+	out := ml.Grant{Type: ml.ErrOverloaded, Reason: "no grant within the time allowed for waiting"}
+	if re.MaxPredictedWaitMs > 0 {
+		out.Type, out.RetryAfterMs = ml.ErrBusy, eg.granter.EstimateWait(now, newRequest(now, re)).Milliseconds()
 	}
-	return ml.Grant{Type: ml.ErrOverloaded, Reason: "no grant within the time allowed for waiting"}
+	return out
 }
 
 // record updates the granter with what the holder reports about a grant.
--- a/messages.go
+++ b/messages.go
@@ -78,7 +78,7 @@
 
 	// MaxPredictedWaitMs is the predicted wait above which the owner answers
 	// ErrBusy, so that the holder tries another endpoint first; zero for no
-	// limit.
+	// limit. With one, it also answers ErrBusy after GrantTimeoutMs.
 	MaxPredictedWaitMs int64 `json:"mostWaitMs,omitempty"`
 }
 
