--- a/internal/duty/owner/endpoint.go
+++ b/internal/duty/owner/endpoint.go
@@ -151,6 +151,7 @@
 	}
 	out := ml.Grant{Type: ml.ErrOverloaded, Reason: "no grant within the time allowed for waiting"}
 	if re.MaxPredictedWaitMs > 0 {
+		busyRefusals.Inc()
 		out.Type, out.RetryAfterMs = ml.ErrBusy, eg.granter.EstimateWait(now, newRequest(now, re)).Milliseconds()
 	}
 	return out
