fix: memory that no request uses is given back before the limit of the settings, whatever becomes of its request

The watchdog finds no place, since the request's own holds and flights fill the engines to which it could go. idleMaxMs of the settings was read by nobody.

The flights of a stream that looks for another place don't count against it, here and at a scheduler (Replaces). A watchdog that finds no place logs it. Ruled out: a limit without asking, which would cut sound groups.

--- a/exchange.go
+++ b/exchange.go
@@ -79,6 +79,9 @@
 	ReserveMemory(ctx context.Context, ep ListedEndpoint, id HoldID, memory Tokens, term time.Duration) error
 	// ReleaseMemory releases a hold.
 	ReleaseMemory(ctx context.Context, ep ListedEndpoint, id HoldID) error
+	// HoldUse asks an engine whether a request uses the memory under a hold. The answer is as
+	// old as the engine's reports are.
+	HoldUse(ctx context.Context, ep ListedEndpoint, id HoldID) (HoldUse, error)
 	// Connect opens a connection, which is kept for the next request, and reports how
 	// that ended.
 	Connect(ctx context.Context, ep ListedEndpoint) ConnectResult
--- a/internal/duty/forwarder/asker.go
+++ b/internal/duty/forwarder/asker.go
@@ -86,7 +86,7 @@
 // ask asks a scheduler to decide on a request within a time.
 func (fo *Forwarder) ask(ctx context.Context, now time.Time, address string, it *item, within time.Duration, excluded []ml.EndpointID) (ml.SharedPlacement, error) {
 	pr := fo.placementRequest(now, it, excluded)
-	pr.MaxIdleWait, pr.IsImmediate = it.maxIdleWait, it.isImmediate
+	pr.MaxIdleWait, pr.IsImmediate, pr.Replaces = it.maxIdleWait, it.isImmediate, it.replaces
 	sp := tracker.EncodePlacementRequest(now, &pr)
 	sp.ReplyWithinMs = within.Milliseconds()
 	ctx, cancel := context.WithTimeout(ctx, within+replyMargin)
--- a/internal/duty/forwarder/attempt.go
+++ b/internal/duty/forwarder/attempt.go
@@ -43,13 +43,21 @@
 func (fo *Forwarder) attempt(ctx context.Context, rq *Request, rs ml.Responder, pl *placement) (ar attemptResult) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer func() { ar.timedOut = errors.Is(context.Cause(ctx), errEventTimeout) }()
 	if err := fo.reserveMemory(ctx, rq, pl); err != nil {
 		return attemptResult{notRun: true, reason: "no memory for the prompt", err: err}
 	}
-	defer fo.releaseMemory(pl)
+	defer func() {
+		ar.timedOut = isSilence(context.Cause(ctx))
+		fo.releaseMemory(pl)
+		if ar.timedOut {
+			pl.awaitRelease()
+		}
+	}()
 	wd := fo.startWatchdog(ctx, rq, pl, cancel)
 	defer wd.end(cancel)
+	if len(pl.holds) > 0 {
+		go fo.runHoldCheck(ctx, rq, pl, wd, cancel)
+	}
 	out := rq.outgoing(pl)
 	out.OnSent = func() { fo.Tracker.RecordSent(time.Now(), pl.flights[0]) }
 	sent := time.Now()
@@ -100,7 +108,7 @@
 // failureReason describes a failed exchange with an endpoint.
 func failureReason(ctx context.Context, err error) string {
 	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, errEventTimeout):
+	case isSilence(cause):
 		return cause.Error()
 	case cause != nil:
 		return "given up"
@@ -108,6 +116,11 @@
 	return err.Error()
 }
 
+// isSilence reports whether an attempt ended since its engine was silent.
+func isSilence(cause error) bool {
+	return errors.Is(cause, errEventTimeout) || errors.Is(cause, errMemoryUnused)
+}
+
 // forwardBuffered reads a response completely and forwards it if it is not
 // truncated. One that is too long for that, or for which there is no memory, is
 // forwarded while it is read. A server error of the endpoint is returned in the result, and is
--- a/internal/duty/forwarder/crash_engine_test.go
+++ b/internal/duty/forwarder/crash_engine_test.go
@@ -55,6 +55,10 @@
 	return &ml.Answer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Sealed: true, Body: pr, Close: func() { _ = pr.Close() }}, nil
 }
 
+func (crashExchanger) HoldUse(context.Context, ml.ListedEndpoint, ml.HoldID) (ml.HoldUse, error) {
+	return ml.HoldUseUnknown, nil
+}
+
 func (crashExchanger) ReserveMemory(context.Context, ml.ListedEndpoint, ml.HoldID, ml.Tokens, time.Duration) error {
 	return nil
 }
--- a/internal/duty/forwarder/doubles_test.go
+++ b/internal/duty/forwarder/doubles_test.go
@@ -40,6 +40,10 @@
 	return nil, ctx.Err()
 }
 
+func (silentExchanger) HoldUse(context.Context, ml.ListedEndpoint, ml.HoldID) (ml.HoldUse, error) {
+	return ml.HoldUseUnknown, nil
+}
+
 func (silentExchanger) ReserveMemory(context.Context, ml.ListedEndpoint, ml.HoldID, ml.Tokens, time.Duration) error {
 	return nil
 }
@@ -53,6 +57,7 @@
 // noMeter discards metrics.
 type noMeter struct{}
 
+func (noMeter) MemoryGivenBack(*Request)                          {}
 func (noMeter) Finished(*Request, string, time.Duration)          {}
 func (noMeter) Placed(*Request, time.Duration)                    {}
 func (noMeter) Sent(*Request, int)                                {}
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -131,6 +131,10 @@
 	RetryPerCent float64
 	RetryBurst   int
 
+	// MaxHoldIdle is the longest time that memory may stay reserved at an engine while no
+	// request uses it. 0 means no limit.
+	MaxHoldIdle time.Duration
+
 	queue              queue
 	peerPlaceableSince map[ml.FlightID]time.Time // since when peer requests could have been placed; used by Run only
 	lastFlightNumber   atomic.Int64              // last number used in a flight id
@@ -149,6 +153,9 @@
 	// FirstEvent records the predicted and the actual time to a stream's first
 	// event.
 	FirstEvent(rq *Request, predicted, took time.Duration)
+	// MemoryGivenBack records that memory was given back that was reserved for a request and
+	// not used.
+	MemoryGivenBack(rq *Request)
 	// Finished records that a request has ended.
 	Finished(rq *Request, outcome string, took time.Duration)
 }
--- a/internal/duty/forwarder/hold.go
+++ b/internal/duty/forwarder/hold.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/reclaimer"
 	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 )
 
@@ -14,8 +17,14 @@
 	holdTerm          = 3 * time.Second
 	holdRenewInterval = time.Second
 	holdCallTimeout   = 800 * time.Millisecond
+	// releaseWait bounds the wait for released memory before a request that has left a silent
+	// engine is sent again: it may go to the engines that still held the memory.
+	releaseWait = 100 * time.Millisecond
 )
 
+// errMemoryUnused means that no request used the memory that is reserved at the helpers.
+var errMemoryUnused = errors.New("the reserved memory is not used")
+
 // memoryHold is memory reserved at a helper.
 type memoryHold struct {
 	helper ml.ListedEndpoint
@@ -55,16 +64,26 @@
 		return nil
 	}
 	for i, ep := range pl.helpers {
-		mh := memoryHold{helper: ep, id: ml.HoldID(pl.flights[i+1]), memory: pl.helperMemory}
-		pl.holds = append(pl.holds, mh)
-		if err := fo.reserve(ctx, mh); err != nil {
-			fo.releaseMemory(pl)
-			return fmt.Errorf("reserve memory for a prompt of %d tokens: %w", rq.Prompt, err)
-		}
+		pl.holds = append(pl.holds, memoryHold{helper: ep, id: ml.HoldID(pl.flights[i+1]), memory: pl.helperMemory})
+	}
+	errs := make(chan error, len(pl.holds))
+	for _, mh := range pl.holds {
+		go fo.runReserve(ctx, mh, errs)
 	}
+	all := []error{}
+	for range pl.holds {
+		all = append(all, <-errs)
+	}
+	if err := errors.Join(all...); err != nil {
+		fo.releaseMemory(pl)
+		return fmt.Errorf("reserve memory for a prompt of %d tokens: %w", rq.Prompt, err)
+	}
+	pl.reservedAt = time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	pl.stopRenewal = cancel
-	go fo.runRenewals(ctx, pl.holds)
+	for _, mh := range pl.holds {
+		go fo.runRenewals(ctx, mh)
+	}
 	return nil
 }
 
@@ -74,17 +93,69 @@
 	return fo.Exchanger.ReserveMemory(ctx, mh.helper, mh.id, mh.memory, holdTerm)
 }
 
-// runRenewals renews holds until ctx ends.
-func (fo *Forwarder) runRenewals(ctx context.Context, holds []memoryHold) {
+func (fo *Forwarder) runReserve(ctx context.Context, mh memoryHold, errs chan<- error) {
+	errs <- fo.reserve(ctx, mh)
+}
+
+// runRenewals renews a hold until ctx ends.
+func (fo *Forwarder) runRenewals(ctx context.Context, mh memoryHold) {
 	_ = pacer.Every(ctx, holdRenewInterval, func(time.Time) { // returns only when ctx ends
-		for _, mh := range holds {
-			if err := fo.reserve(ctx, mh); err != nil && ctx.Err() == nil {
-				fo.Log.Warn("memory hold not renewed", "ticket", mh.id, "endpoint", mh.helper.ID, "error", err)
-			}
+		if err := fo.reserve(ctx, mh); err != nil && ctx.Err() == nil {
+			fo.Log.Warn("memory hold not renewed", "ticket", mh.id, "endpoint", mh.helper.ID, "error", err)
 		}
 	})
 }
 
+// runHoldCheck cancels an attempt whose reserved memory no request uses, so that it is given back
+// in time. It returns when the memory is used or ctx ends.
+func (fo *Forwarder) runHoldCheck(ctx context.Context, rq *Request, pl *placement, wd *watchdog, cancel context.CancelCauseFunc) {
+	re := reclaimer.Reclaimer{MaxIdle: fo.MaxHoldIdle, Term: holdTerm}
+	wait, limited := re.FirstCheck()
+	for limited {
+		pacer.Sleep(ctx, wait)
+		if ctx.Err() != nil || wd.events.Load() > 0 {
+			return
+		}
+		use := fo.holdUse(ctx, pl.holds)
+		ve := re.Decide(time.Now(), pl.reservedAt, use)
+		if ve.Settled || ctx.Err() != nil {
+			return
+		}
+		if ve.GiveBack {
+			fo.Log.Warn("memory given back", "request", rq.Outgoing.Attempt, "endpoint", pl.lead.ID, "helpers", pl.helperIDs(),
+				"use", use.String(), "idleMs", time.Since(pl.reservedAt).Milliseconds())
+			fo.Metrics.MemoryGivenBack(rq)
+			cancel(errMemoryUnused)
+			return
+		}
+		wait = ve.CheckIn
+	}
+}
+
+// holdUse asks the helpers whether a request uses their memory, all at the same time. They are
+// filled one after the other, so that one of them is enough.
+func (fo *Forwarder) holdUse(ctx context.Context, holds []memoryHold) ml.HoldUse {
+	uses := make(chan ml.HoldUse, len(holds))
+	for _, mh := range holds {
+		go fo.runHoldUse(ctx, mh, uses)
+	}
+	most := ml.HoldUseUnknown
+	for range holds {
+		most = max(most, <-uses)
+	}
+	return most
+}
+
+func (fo *Forwarder) runHoldUse(ctx context.Context, mh memoryHold, uses chan<- ml.HoldUse) {
+	ctx, cancel := context.WithTimeout(ctx, holdCallTimeout)
+	defer cancel()
+	use, err := fo.Exchanger.HoldUse(ctx, mh.helper, mh.id)
+	if err != nil && ctx.Err() == nil {
+		fo.Log.Warn("use of memory hold unknown", "ticket", mh.id, "endpoint", mh.helper.ID, "error", err)
+	}
+	uses <- use
+}
+
 // releaseMemory releases the holds of a placement. It does not wait for the engines,
 // since a hold that is not renewed expires.
 func (fo *Forwarder) releaseMemory(pl *placement) {
@@ -92,12 +163,29 @@
 		pl.stopRenewal()
 	}
 	for _, mh := range pl.holds {
-		go fo.runRelease(mh)
+		pl.releasing.Add(1)
+		go fo.runRelease(mh, &pl.releasing)
 	}
 	pl.holds = nil
 }
 
-func (fo *Forwarder) runRelease(mh memoryHold) {
+// awaitRelease waits for the orders that release holds, up to releaseWait.
+func (pl *placement) awaitRelease() {
+	released := make(chan struct{})
+	go pl.runAwait(released)
+	select {
+	case <-released:
+	case <-time.After(releaseWait):
+	}
+}
+
+func (pl *placement) runAwait(released chan<- struct{}) {
+	pl.releasing.Wait()
+	close(released)
+}
+
+func (fo *Forwarder) runRelease(mh memoryHold, done *sync.WaitGroup) {
+	defer done.Done()
 	ctx, cancel := context.WithTimeout(context.Background(), holdCallTimeout)
 	defer cancel()
 	if err := fo.Exchanger.ReleaseMemory(ctx, mh.helper, mh.id); err != nil {
--- a/internal/duty/forwarder/move.go
+++ b/internal/duty/forwarder/move.go
@@ -22,13 +22,14 @@
 // place at another one. It reports false if the stream stays: there is no place, another stream
 // has got it, or the engine has sent an event meanwhile. A look at the engines alone would promise
 // one free place to all streams of the silent engine, whose time-outs end at the same moment.
-func (fo *Forwarder) moveStream(ctx context.Context, rq *Request, lead ml.EndpointID, wd *watchdog, cancel context.CancelCauseFunc) bool {
+func (fo *Forwarder) moveStream(ctx context.Context, rq *Request, from *placement, wd *watchdog, cancel context.CancelCauseFunc) bool {
 	events := wd.events.Load()
 	if fo.mustCarry(time.Now(), rq) {
 		return fo.leave(rq, cancel) // the engine is out of reach
 	}
-	pl := fo.reservePlace(ctx, time.Now(), rq, lead)
+	pl := fo.reservePlace(ctx, time.Now(), rq, from)
 	if pl == nil {
+		fo.Log.Info("stays", "request", rq.Outgoing.Attempt, "endpoint", from.lead.ID, "events", events, "reason", "no place elsewhere")
 		return false
 	}
 	if !fo.keepsPlace(ctx, rq, pl) || wd.events.Load() != events || ctx.Err() != nil || !rq.reserved.CompareAndSwap(nil, pl) {
@@ -51,14 +52,16 @@
 	return true
 }
 
-// reservePlace places a stream at an endpoint other than its lead, if one can take it at once and
+// reservePlace places a stream at an endpoint other than the one where it is, if one can take it at once and
 // before its caller stops waiting. It returns nil if there is none.
-func (fo *Forwarder) reservePlace(ctx context.Context, now time.Time, rq *Request, lead ml.EndpointID) *placement {
+// The flights of its present attempt don't count, since they end as it moves.
+func (fo *Forwarder) reservePlace(ctx context.Context, now time.Time, rq *Request, from *placement) *placement {
+	lead := from.lead.ID
 	if rq.Spec == nil || rq.Spec.Engine == nil {
 		return fo.chooseService(now, rq, false, lead)
 	}
 	it := fo.newItemFor(now, rq, rq.moveRequest(now, fo.Domain))
-	it.isImmediate, it.maxIdleWait = true, 0
+	it.isImmediate, it.maxIdleWait, it.replaces = true, 0, from.flights[0].Request()
 	it.exclude(&ml.PlacementRequest{Excluded: []ml.EndpointID{lead}})
 	if address, found := fo.scheduler(now); found {
 		return fo.reserveAt(ctx, now, address, it, lead)
--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
@@ -45,8 +46,10 @@
 	cold                bool      // the lead was known to be cold
 	helperMemory        ml.Tokens // memory needed at each helper; 0 if the lead holds the whole prompt
 	holds               []memoryHold
+	reservedAt          time.Time // when all holds were there
 
 	stopRenewal context.CancelFunc
+	releasing   sync.WaitGroup // orders that release holds
 }
 
 // place finds an endpoint for a request, and waits until one can take it.
--- a/internal/duty/forwarder/queue.go
+++ b/internal/duty/forwarder/queue.go
@@ -38,6 +38,7 @@
 	outranked    bool          // more urgent requests need all free slots
 	maxIdleWait  time.Duration // while no endpoint can take it at all
 	isImmediate  bool          // does not wait
+	replaces     ml.FlightID   // request whose flights end when this one is placed; empty for none
 	result       chan decision
 }
 
--- a/internal/duty/forwarder/round.go
+++ b/internal/duty/forwarder/round.go
@@ -209,12 +209,24 @@
 			rs.candidates[i].State = &es
 		}
 		ca := rs.candidates[i]
+		if it.replaces != "" {
+			ca = withoutRequest(ca, it.replaces)
+		}
 		ca.Blocked = ca.Blocked || fo.mayNotUse(ro.now, it, rs.listings[i])
 		candidates, indexes = append(candidates, ca), append(indexes, i)
 	}
 	return candidates, indexes
 }
 
+// withoutRequest returns a candidate without the flights of a request.
+func withoutRequest(ca placer.Candidate, request ml.FlightID) placer.Candidate {
+	isOfRequest := func(fl ml.Flight) bool { return fl.ID.Request() == request }
+	if slices.ContainsFunc(ca.Flights, isOfRequest) {
+		ca.Flights, ca.State = slices.DeleteFunc(slices.Clone(ca.Flights), isOfRequest), nil
+	}
+	return ca
+}
+
 // addFlight records a flight that was decided on in this round.
 func (ro *round) addFlight(name ml.ServiceName, fl ml.Flight) {
 	ro.flights[fl.Endpoint] = append(ro.flights[fl.Endpoint], fl)
--- a/internal/duty/forwarder/scheduler.go
+++ b/internal/duty/forwarder/scheduler.go
@@ -60,6 +60,7 @@
 func newAskedItem(now time.Time, pr *ml.PlacementRequest, spec *ml.ServiceSpec) *item {
 	it := newItem(now, pr.QueuedRequest, spec.Engine, pr.Domain)
 	it.ask, it.spec, it.askedAt, it.maxIdleWait, it.result = pr, spec, now, pr.MaxIdleWait, make(chan decision, 1)
+	it.replaces = pr.Replaces
 	it.exclude(pr)
 	return it
 }
--- a/internal/duty/forwarder/share_test.go
+++ b/internal/duty/forwarder/share_test.go
@@ -60,14 +60,15 @@
 	rq.Spec.ColdRate = 1
 	fo.ColdOverage, fo.ColdSlack = 1, 0
 	rq.Arrived, rq.FirstEventDeadline = now, now.Add(4*time.Second)
-	pl := fo.reservePlace(t.Context(), now, rq, "e0")
+	from := &placement{lead: ml.ListedEndpoint{Endpoint: ml.Endpoint{ID: "e0"}}, flights: []ml.FlightID{"vm0-1~0"}}
+	pl := fo.reservePlace(t.Context(), now, rq, from)
 	if pl == nil || pl.lead.ID != "e1" {
 		t.Fatal("the stream can't go on at the other engine")
 	}
 	now = now.Add(time.Minute)
 	fo.endFlights(pl)
 	fo.Tracker.AddFlight(now, ml.Flight{ID: "f", Endpoint: "e1", SentAt: now})
-	if fo.reservePlace(t.Context(), now, rq, "e0") != nil {
+	if fo.reservePlace(t.Context(), now, rq, from) != nil {
 		t.Error("the stream is taken from its engine, but could not go on at the other one")
 	}
 }
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -72,7 +72,7 @@
 		if ctx.Err() != nil {
 			return // fired while the attempt ended
 		}
-		if !resumable || !fo.moveStream(ctx, rq, pl.lead.ID, wd, cancel) {
+		if !resumable || !fo.moveStream(ctx, rq, pl, wd, cancel) {
 			wd.Reset(wd.gapTimeout)
 		}
 	})
--- a/internal/state/tracker/shared.go
+++ b/internal/state/tracker/shared.go
@@ -55,7 +55,7 @@
 func EncodePlacementRequest(now time.Time, pr *ml.PlacementRequest) ml.SharedPlacementRequest {
 	return ml.SharedPlacementRequest{
 		SharedQueuedRequest: encodeWaiting(now, pr.QueuedRequest), From: pr.From, Domain: pr.Domain, Excluded: pr.Excluded, Allowed: pr.Allowed,
-		MaxIdleWaitMs: pr.MaxIdleWait.Milliseconds(), IsProbe: pr.IsProbe, IsImmediate: pr.IsImmediate,
+		MaxIdleWaitMs: pr.MaxIdleWait.Milliseconds(), IsProbe: pr.IsProbe, IsImmediate: pr.IsImmediate, Replaces: pr.Replaces,
 	}
 }
 
@@ -63,6 +63,6 @@
 func DecodePlacementRequest(now time.Time, sp *ml.SharedPlacementRequest) ml.PlacementRequest {
 	return ml.PlacementRequest{
 		QueuedRequest: decodeWaiting(now, sp.SharedQueuedRequest), From: sp.From, Domain: sp.Domain, Excluded: sp.Excluded, Allowed: sp.Allowed,
-		MaxIdleWait: time.Duration(sp.MaxIdleWaitMs) * time.Millisecond, IsProbe: sp.IsProbe, IsImmediate: sp.IsImmediate,
+		MaxIdleWait: time.Duration(sp.MaxIdleWaitMs) * time.Millisecond, IsProbe: sp.IsProbe, IsImmediate: sp.IsImmediate, Replaces: sp.Replaces,
 	}
 }
--- a/scheduling.go
+++ b/scheduling.go
@@ -20,6 +20,9 @@
 	IsProbe bool
 	// IsImmediate asks for a place now or none at all: the request does not wait.
 	IsImmediate bool
+	// Replaces names a request whose flights end as this one is placed, so that they don't
+	// count. It is empty for none.
+	Replaces FlightID
 }
 
 // SharedPlacementRequest is a PlacementRequest in a message.
@@ -32,6 +35,7 @@
 	MaxIdleWaitMs int64        `json:"w,omitempty"`
 	IsProbe       bool         `json:"t,omitempty"`
 	IsImmediate   bool         `json:"now,omitempty"`
+	Replaces      FlightID     `json:"rep,omitempty"`
 	// ReplyWithinMs is the time after which the scheduler replies that the request waits,
 	// if it has not decided by then.
 	ReplyWithinMs int64 `json:"n,omitempty"`
--- a/serving.go
+++ b/serving.go
@@ -185,6 +185,21 @@
 // HoldID identifies a reservation of engine memory.
 type HoldID string
 
+// HoldUse tells whether a request uses reserved memory.
+type HoldUse int
+
+// The uses of reserved memory.
+const (
+	HoldUseUnknown HoldUse = iota // the engine does not say
+	HoldUnused
+	HoldUsed
+)
+
+// String returns the use as it stands in logs.
+func (hu HoldUse) String() string {
+	return [...]string{"unknown", "unused", "used"}[hu]
+}
+
 // Membership is an entry VM's view of the entry VMs of its failure domain.
 type Membership struct {
 	Version int64    // changes with every other field but Settled
