feat: ranks of routes and teams decide between requests for one service

What counts is the effective rank, a team's before its route's; it is in the order of queues, in a full queue, in the weight of others' pauses and delays, in refusals, on the wire and in what engines are told. Equal ranks: nothing changes.

--- a/exchange.go
+++ b/exchange.go
@@ -223,6 +223,7 @@
 	FirstEventDeadlineMs int64      `json:"u"`
 	GapTargetMs          int64      `json:"g"`
 	Value                float64    `json:"v"`
+	Weight               float64    `json:"wt,omitempty"`
 	Partial              bool       `json:"k,omitempty"`
 	Helper               bool       `json:"h,omitempty"`
 	Reserved             bool       `json:"n,omitempty"`
@@ -240,6 +241,7 @@
 	GapTargetMs          int64       `json:"g"`
 	Value                float64     `json:"v"`
 	Rank                 int64       `json:"o"`
+	Priority             *Priority   `json:"pr,omitempty"`
 }
 
 // SharedLimit is the RateLimit in an endpoint's answer, AgeMs milliseconds before the
--- a/internal/decision/placer/loss.go
+++ b/internal/decision/placer/loss.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -101,7 +102,7 @@
 	if end := start.Add(fl.DecodeTime); end.After(*startAt) {
 		*startAt = end
 	}
-	return lateLossShare * fl.Value * added
+	return lateLossShare * ch.valueOf(fl) * added
 }
 
 // gapMissProbability returns the probability that a pause misses its objective.
@@ -117,11 +118,12 @@
 		delay = time.Duration(prefillOverlapShare * float64(part))
 	}
 	loss := 0.0
-	for _, pp := range st.engine.Pending {
+	for i := range st.engine.Pending {
+		pp := &st.engine.Pending[i]
 		firstEvent := pp.DoneAt.Add(forecaster.PassTime(ch.rq.Profile, 1, pp.Flight.Memory))
-		loss += lateLossShare * pp.Flight.Value * ch.addedMissProbability(firstEvent, delay, pp.Flight.FirstEventTarget)
+		loss += lateLossShare * ch.valueOf(&pp.Flight) * ch.addedMissProbability(firstEvent, delay, pp.Flight.FirstEventTarget)
 		if !pp.Flight.FirstEventDeadline.IsZero() {
-			loss += (1 - lateLossShare) * pp.Flight.Value * ch.addedMissProbability(firstEvent, delay, pp.Flight.FirstEventDeadline)
+			loss += (1 - lateLossShare) * ch.valueOf(&pp.Flight) * ch.addedMissProbability(firstEvent, delay, pp.Flight.FirstEventDeadline)
 		}
 	}
 	return loss
@@ -133,6 +135,11 @@
 	return ch.missProbability(firstEvent.Add(delay), limit) - ch.missProbability(firstEvent, limit)
 }
 
+// valueOf returns the value of another request, as it counts for this one by their ranks.
+func (ch *chooser) valueOf(fl *ml.Flight) float64 {
+	return fl.Value * cmp.Or(fl.Weight, 1) / cmp.Or(ch.rq.Weight, 1)
+}
+
 // RequestValue returns the value of an answer to its caller. It grows with the
 // length of the prompt, that is with the work that the caller has invested.
 func RequestValue(prompt ml.Tokens) float64 {
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -77,6 +77,7 @@
 	FirstEventDeadline time.Time     // the caller stops waiting for the first event
 	GapTarget          time.Duration // objective for the pause between two events
 	Value              float64       // see RequestValue
+	Weight             float64       // as of a flight
 	Domain             ml.DomainID   // of the entry VM that received the request
 	// UnseenRequests is the estimated number of prompts that other entry VMs have
 	// placed and that this entry VM has not been informed of yet.
--- a/internal/duty/forwarder/attempt.go
+++ b/internal/duty/forwarder/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/ranker"
 	"github.com/mulberrylever/mulberrylever/internal/state/bounder"
 )
 
@@ -100,7 +101,7 @@
 	out.Header = rq.Outgoing.Header.Clone()
 	out.TimeLeft = time.Until(rq.Deadline)
 	out.LastEventID = rq.lastEventID
-	out.Priority = enginePriorities[rq.Length()]
+	out.Priority = ranker.ForEngine(rq.Priority, rq.ranks(), enginePriorities[rq.Length()])
 	out.Helpers = pl.helperList()
 	return &out
 }
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -46,11 +46,12 @@
 	Identity           ml.PartID   // of the request as a whole
 	Answer             ml.Tokens   // expected
 	Arrived            time.Time
-	FirstEventTarget   time.Time // objective for the response, or for a stream's first event
-	FirstEventDeadline time.Time // when the caller stops waiting for it
-	Deadline           time.Time // of the complete response
-	IsCarried          bool      // another entry VM has handed it over, and counts it as a request
-	CarriedAttempts    int       // that may run, if it is carried
+	FirstEventTarget   time.Time   // objective for the response, or for a stream's first event
+	FirstEventDeadline time.Time   // when the caller stops waiting for it
+	Deadline           time.Time   // of the complete response
+	Priority           ml.Priority // effective rank
+	IsCarried          bool        // another entry VM has handed it over, and counts it as a request
+	CarriedAttempts    int         // that may run, if it is carried
 
 	sendCount      int        // attempts that reached an endpoint
 	possibleRuns   int        // of these, attempts that may have run
@@ -243,7 +244,7 @@
 	}
 	fo.Log.Info("placed", "request", rq.Outgoing.Attempt, "endpoint", pl.lead.ID, "helpers", pl.helperIDs(), "waitedMs", pl.waited.Milliseconds(),
 		"firstMs", pl.predictedFirstEvent.Milliseconds(), "loss", pl.loss, "worth", pl.value, "seen", pl.usable, "prompt", rq.Prompt,
-		"recentSends", pl.recentSends, "cold", pl.cold)
+		"recentSends", pl.recentSends, "cold", pl.cold, "rank", rq.Priority)
 	fo.Metrics.Placed(rq, pl.waited)
 	sentAt := time.Now()
 	ar := fo.attempt(ctx, rq, rs, pl)
--- a/internal/duty/forwarder/forwarder_test.go
+++ b/internal/duty/forwarder/forwarder_test.go
@@ -78,7 +78,7 @@
 		fo := &Forwarder{Tracker: &tracker.Tracker{}, Log: log}
 		result := make(chan decision, 1)
 		it := &item{id: "it", result: result}
-		g.Expect(fo.queue.add(it)).To(gomega.BeTrue())
+		g.Expect(fo.enqueue(time.Now(), it)).To(gomega.BeTrue())
 		fo.Tracker.AddFlight(time.Now(), ml.Flight{ID: "f", Endpoint: "e", SentAt: time.Now()})
 		de := decision{placement: &placement{flights: []ml.FlightID{"f"}}}
 		if withdrawFirst {
--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -83,14 +83,31 @@
 		id: fo.newFlightID(), rq: rq, service: rq.Service, placerReq: pr, waitingSince: now, result: make(chan decision, 1),
 		latestStart: pr.LatestStart(), maxIdleWait: rq.Route.Target / noEndpointWaitDivisor,
 	}
+	it.setRank(&rq.Priority, rq.ranks())
 	it.rank = fo.StartedAt.UnixMilli() + it.latestStart.Sub(fo.StartedAt).Milliseconds() // unaffected by changes of the wall clock
 	return it
 }
 
+// ranks returns the ranks that the requests for the same service may have.
+func (rq *Request) ranks() ml.RankRange {
+	if rq.Spec == nil {
+		return ml.RankRange{}
+	}
+	return rq.Spec.Ranks
+}
+
+// setRank sets the rank of a request. One that does not say its rank goes among the highest.
+func (it *item) setRank(pr *ml.Priority, rr ml.RankRange) {
+	it.ranks, it.priority = rr, rr.Highest
+	if pr != nil {
+		it.priority = min(max(*pr, rr.Highest), rr.Lowest)
+	}
+}
+
 // placeHere has this entry VM decide on a request.
 func (fo *Forwarder) placeHere(ctx context.Context, it *item) (*placement, error) {
-	if !fo.queue.add(it) {
-		return nil, &unplaceableError{reason: "too many requests wait", retryAfter: defaultRetryAfter}
+	if !fo.enqueue(time.Now(), it) {
+		return nil, errTooManyWait
 	}
 	fo.Wake()
 	select {
@@ -102,6 +119,21 @@
 	}
 }
 
+// errTooManyWait is the refusal of a request for which there is no place in the queue.
+var errTooManyWait = &unplaceableError{reason: "too many requests wait", retryAfter: defaultRetryAfter}
+
+// enqueue adds a request to the queue, and refuses the one that leaves a full queue for it. It
+// reports false if there is no place for the request itself.
+func (fo *Forwarder) enqueue(now time.Time, it *item) bool {
+	left, added := fo.queue.add(now, it)
+	if left != nil {
+		fo.Log.Info("left the queue", "id", left.id, "rank", left.priority, "for", it.id, "forRank", it.priority)
+		fo.Tracker.RemoveWaiting(left.id)
+		left.result <- decision{err: errTooManyWait}
+	}
+	return added
+}
+
 // withdraw removes a request from the queue after its caller has disconnected. If
 // it was placed concurrently, its flights are ended.
 func (fo *Forwarder) withdraw(it *item, result <-chan decision) {
--- a/internal/duty/forwarder/queue.go
+++ b/internal/duty/forwarder/queue.go
@@ -9,6 +9,7 @@
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/decision/placer"
+	"github.com/mulberrylever/mulberrylever/internal/decision/ranker"
 )
 
 const (
@@ -34,6 +35,8 @@
 	waitingSince time.Time
 	latestStart  time.Time     // latest start at which an engine meets the objective
 	rank         int64         // latestStart in milliseconds, by the clock of the request's entry VM
+	priority     ml.Priority   // as the operators rank it
+	ranks        ml.RankRange  // of the requests for its service
 	shared       bool          // sent to the other entry VMs
 	outranked    bool          // more urgent requests need all free slots
 	maxIdleWait  time.Duration // while no endpoint can take it at all
@@ -101,14 +104,43 @@
 	return qu.wake
 }
 
-func (qu *queue) add(it *item) bool {
+// add adds a waiting request. In a full queue the last one in order, which it returns, leaves for
+// one of a higher rank. It reports false if there is no place for the request.
+func (qu *queue) add(now time.Time, it *item) (left *item, added bool) {
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
-	if it.ask == nil && len(qu.items) >= maxQueuedRequests || len(qu.items) >= maxAskedRequests {
-		return false
+	limit := maxAskedRequests
+	if it.ask == nil {
+		limit = maxQueuedRequests
+	}
+	if len(qu.items) >= limit {
+		if left = qu.removeBehind(now, it); left == nil {
+			return nil, false
+		}
 	}
 	qu.items = append(qu.items, it)
-	return true
+	return left, true
+}
+
+// removeBehind removes the last waiting request in order if a request has a higher rank than it.
+// It returns nil if there is none. The caller must hold qu.mu.
+func (qu *queue) removeBehind(now time.Time, it *item) *item {
+	last := -1
+	for i, other := range qu.items {
+		if other.agedRank(now) > it.agedRank(now) && !other.isDecided && (last < 0 || compareUrgency(other, qu.items[last], now) > 0) {
+			last = i
+		}
+	}
+	if last < 0 {
+		return nil
+	}
+	left := qu.items[last]
+	if left.ask != nil {
+		left.isDecided = true // stays until the refusal is fetched
+		return left
+	}
+	qu.items = slices.Delete(qu.items, last, last+1)
+	return left
 }
 
 // remove removes a request and reports whether it was still queued.
@@ -142,12 +174,15 @@
 }
 
 // settle records that a request of another entry VM is decided on, which stays until that one
-// fetches the decision. It reports whether the request still waited.
+// fetches the decision. It reports whether the request still waited for one.
 func (qu *queue) settle(it *item) bool {
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
-	it.isDecided = slices.Contains(qu.items, it)
-	return it.isDecided
+	if it.isDecided || !slices.Contains(qu.items, it) {
+		return false
+	}
+	it.isDecided = true
+	return true
 }
 
 // isEmpty reports whether there is neither a waiting request nor an unfetched decision.
@@ -180,13 +215,24 @@
 }
 
 // sortByUrgency sorts waiting requests, the most urgent first. Those that can no
-// longer meet their objective come last. The order is the same at all entry VMs.
+// longer meet their objective come last, and within both groups higher ranks first. The order is
+// the same at all entry VMs.
 func sortByUrgency(items []*item, now time.Time) {
 	slices.SortStableFunc(items, func(a, b *item) int {
-		return cmp.Or(latenessGroup(a, now)-latenessGroup(b, now), cmp.Compare(a.rank, b.rank), cmp.Compare(a.id, b.id))
+		return compareUrgency(a, b, now)
 	})
 }
 
+// compareUrgency returns a negative number if a goes before b.
+func compareUrgency(a, b *item, now time.Time) int {
+	return cmp.Or(latenessGroup(a, now)-latenessGroup(b, now), cmp.Compare(a.agedRank(now), b.agedRank(now)), cmp.Compare(a.rank, b.rank), cmp.Compare(a.id, b.id))
+}
+
+// agedRank returns the rank of a request after its waiting time.
+func (it *item) agedRank(now time.Time) ml.Priority {
+	return ranker.Aged(now, it.waitingSince, it.priority, it.ranks)
+}
+
 func latenessGroup(it *item, now time.Time) int {
 	if it.latestStart.Before(now) {
 		return 1
--- a/internal/duty/forwarder/round.go
+++ b/internal/duty/forwarder/round.go
@@ -10,6 +10,7 @@
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/decision/forecaster"
 	"github.com/mulberrylever/mulberrylever/internal/decision/placer"
+	"github.com/mulberrylever/mulberrylever/internal/decision/ranker"
 	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
 )
@@ -140,19 +141,21 @@
 	out := []*item{}
 	for _, qr := range fo.Tracker.WaitingAtPeers(now) {
 		if qr.Service == first.service {
-			out = append(out, newItem(now, qr, first.placerReq.Profile, ""))
+			out = append(out, newItem(now, qr, first.placerReq.Profile, first.ranks, ""))
 		}
 	}
 	return out
 }
 
 // newItem returns a request of another entry VM as an item.
-func newItem(now time.Time, qr ml.QueuedRequest, profile *ml.EngineProfile, domain ml.DomainID) *item {
+func newItem(now time.Time, qr ml.QueuedRequest, profile *ml.EngineProfile, ranks ml.RankRange, domain ml.DomainID) *item {
 	pr := placer.Request{
 		Profile: profile, Prompt: qr.Prompt, Answer: qr.Answer, FirstEventTarget: qr.FirstEventTarget,
 		FirstEventDeadline: qr.FirstEventDeadline, GapTarget: qr.GapTarget, Value: qr.Value, Domain: domain,
 	}
-	return &item{id: qr.ID, service: qr.Service, placerReq: pr, waitingSince: now, rank: qr.Rank, latestStart: pr.LatestStart()}
+	it := &item{id: qr.ID, service: qr.Service, placerReq: pr, waitingSince: now, rank: qr.Rank, latestStart: pr.LatestStart()}
+	it.setRank(qr.Priority, ranks)
+	return it
 }
 
 // queuedRequest returns the item in the form that is sent to other entry VMs.
@@ -160,7 +163,7 @@
 	return ml.QueuedRequest{
 		ID: it.id, Service: it.service, Prompt: it.placerReq.Prompt, Answer: it.placerReq.Answer,
 		FirstEventTarget: it.placerReq.FirstEventTarget, FirstEventDeadline: it.placerReq.FirstEventDeadline,
-		GapTarget: it.placerReq.GapTarget, Value: it.placerReq.Value, Rank: it.rank,
+		GapTarget: it.placerReq.GapTarget, Value: it.placerReq.Value, Rank: it.rank, Priority: &it.priority,
 	}
 }
 
@@ -247,7 +250,7 @@
 	rs := fo.service(ro, it.service)
 	candidates, indexes := fo.candidatesFor(ro, it, rs)
 	it.placerReq.IsExact = ro.isExact
-	ch := placer.Choose(now, &it.placerReq, candidates)
+	ch := it.choose(now, candidates)
 	if it.rq != nil && ch.Refused && ch.Available == 0 {
 		if left := fo.pauseLeft(now, rs.listings); left > 0 {
 			return decision{err: &unplaceableError{reason: errAllPaused.Error(), retryAfter: left}}, true
@@ -276,6 +279,23 @@
 	return decision{placement: pl}, true
 }
 
+// choose decides where a waiting request goes by the rank to which it has moved up. One that is
+// refused by its rank, but would not be as it moves up further, waits.
+func (it *item) choose(now time.Time, candidates []placer.Candidate) placer.Choice {
+	aged := it.agedRank(now)
+	it.placerReq.Weight = ranker.Weight(aged, it.ranks)
+	ch := placer.Choose(now, &it.placerReq, candidates)
+	if !ch.Refused || aged == it.ranks.Highest {
+		return ch
+	}
+	it.placerReq.Weight = 1
+	if placer.Choose(now, &it.placerReq, candidates).Refused {
+		return ch
+	}
+	ch.Wait, ch.Refused = true, false
+	return ch
+}
+
 // mayNotUse reports whether an endpoint must not get a waiting request although it may get
 // others.
 func (fo *Forwarder) mayNotUse(now time.Time, it *item, li cataloger.Listing) bool {
@@ -335,6 +355,9 @@
 		FirstEventTarget: it.placerReq.FirstEventTarget, FirstEventDeadline: it.placerReq.FirstEventDeadline,
 		GapTarget: it.placerReq.GapTarget, Value: it.placerReq.Value,
 	}
+	if it.ranks.Differ() {
+		base.Weight = ranker.Weight(it.priority, it.ranks)
+	}
 	out := make([]ml.Flight, 0, parts)
 	for i, ep := range pl.endpoints() {
 		fl := base
--- a/internal/duty/forwarder/round_bench_test.go
+++ b/internal/duty/forwarder/round_bench_test.go
@@ -47,7 +47,7 @@
 				}
 				it := newAskedItem(now, &pr, spec)
 				it.askedAt = now.Add(time.Hour)
-				fo.queue.add(it)
+				fo.enqueue(now, it)
 			}
 			b.ResetTimer()
 			for b.Loop() {
--- a/internal/duty/forwarder/scheduler.go
+++ b/internal/duty/forwarder/scheduler.go
@@ -8,7 +8,6 @@
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/decision/detector"
-	"github.com/mulberrylever/mulberrylever/internal/decision/placer"
 	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
 )
 
@@ -39,8 +38,8 @@
 	it := fo.queue.renew(now, &pr)
 	if it == nil {
 		it = newAskedItem(now, &pr, spec)
-		if !fo.queue.add(it) {
-			return ml.SharedPlacement{Refusal: "too many requests wait", RetryAfterMs: defaultRetryAfter.Milliseconds()}
+		if !fo.enqueue(now, it) {
+			return sharedPlacement(&decision{err: errTooManyWait})
 		}
 		fo.Wake()
 	}
@@ -58,7 +57,7 @@
 
 // newAskedItem returns a request that another entry VM asks this one to place.
 func newAskedItem(now time.Time, pr *ml.PlacementRequest, spec *ml.ServiceSpec) *item {
-	it := newItem(now, pr.QueuedRequest, spec.Engine, pr.Domain)
+	it := newItem(now, pr.QueuedRequest, spec.Engine, spec.Ranks, pr.Domain)
 	it.ask, it.spec, it.askedAt, it.maxIdleWait, it.result = pr, spec, now, pr.MaxIdleWait, make(chan decision, 1)
 	it.replaces = pr.Replaces
 	it.exclude(pr)
@@ -98,7 +97,7 @@
 func (fo *Forwarder) couldPlace(ro *round, it *item) bool {
 	candidates, _ := fo.candidatesFor(ro, it, fo.service(ro, it.service))
 	it.placerReq.IsExact = ro.isExact
-	ch := placer.Choose(ro.now, &it.placerReq, candidates)
+	ch := it.choose(ro.now, candidates)
 	return !ch.Refused && !ch.Wait
 }
 
--- a/serving.go
+++ b/serving.go
@@ -1,6 +1,7 @@
 package mulberrylever
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -19,9 +20,18 @@
 // EventID is the sequence number of an event in its stream.
 type EventID int64
 
-// Priority is the priority of a request: 0 is the most urgent.
+// Priority is the priority, or rank, of a request: 0 is the most urgent.
 type Priority int
 
+// MaxPriority is the least urgent priority.
+const MaxPriority Priority = 9
+
+// RankRange holds the ranks that the requests for a service may have.
+type RankRange struct{ Highest, Lowest Priority }
+
+// Differ reports whether there is more than one rank.
+func (rr RankRange) Differ() bool { return rr.Highest != rr.Lowest }
+
 // RouteKind defines whether the requests of a route may be repeated.
 type RouteKind int
 
@@ -59,6 +69,11 @@
 	return ro.Kind == RouteSafe || ro.Kind == RouteStream && ro.Resumable
 }
 
+// LeadsTo reports whether requests of the route may go to a service.
+func (ro *Route) LeadsTo(service ServiceName) bool {
+	return slices.ContainsFunc(ro.Services, func(ws WeightedService) bool { return ws.Service == service })
+}
+
 // WeightedService is one of the services among which a route's requests are
 // distributed by weight.
 type WeightedService struct {
@@ -73,6 +88,7 @@
 	ColdPeriod     time.Duration // time after its start during which an endpoint is cold
 	ColdRate       float64       // requests per second that a cold endpoint sustains; 0 for no limit
 	Engine         *EngineProfile
+	Ranks          RankRange // of its requests
 }
 
 // EngineProfile describes the capacity and speed of the engines of one service.
@@ -155,6 +171,7 @@
 	FirstEventDeadline time.Time     // the caller stops waiting for the first event; zero if unknown
 	GapTarget          time.Duration // objective for the pause between two events
 	Value              float64       // benefit of an answer in time, for weighing requests against each other
+	Weight             float64       // factor of Value by the request's rank: less than 1 below the highest rank; 0 counts as 1
 	Partial            bool          // one of several engines that prefill parts of the prompt
 	Helper             bool          // Partial, and another engine generates the answer
 	LastEventAt        time.Time     // time of the latest event, initially SentAt
@@ -174,6 +191,8 @@
 	GapTarget          time.Duration
 	Value              float64
 	Rank               int64 // sort key of the queue, lowest first; the same at all entry VMs
+	// Priority is nil for a request of an entry VM of an earlier release, which doesn't say it.
+	Priority *Priority
 }
 
 // Helper is an additional engine that prefills a part of a prompt.
