--- a/exchange.go
+++ b/exchange.go
@@ -224,6 +224,7 @@
 	GapTargetMs          int64      `json:"g"`
 	Value                float64    `json:"v"`
 	Weight               float64    `json:"wt,omitempty"`
+	Team                 TeamID     `json:"tm,omitempty"`
 	Partial              bool       `json:"k,omitempty"`
 	Helper               bool       `json:"h,omitempty"`
 	Reserved             bool       `json:"n,omitempty"`
@@ -242,6 +243,7 @@
 	Value                float64     `json:"v"`
 	Rank                 int64       `json:"o"`
 	Priority             *Priority   `json:"pr,omitempty"`
+	Team                 TeamID      `json:"tm,omitempty"`
 }
 
 // SharedLimit is the RateLimit in an endpoint's answer, AgeMs milliseconds before the
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -137,6 +137,7 @@
 	MaxHoldIdle time.Duration
 
 	queue              queue
+	teamsBehind        map[ml.TeamID]bool        // that use more than their share; used by Run only
 	peerPlaceableSince map[ml.FlightID]time.Time // since when peer requests could have been placed; used by Run only
 	lastFlightNumber   atomic.Int64              // last number used in a flight id
 	choosing           sync.Mutex                // held by chooseService until the flight is recorded
--- a/internal/duty/forwarder/queue.go
+++ b/internal/duty/forwarder/queue.go
@@ -33,10 +33,12 @@
 	service      ml.ServiceName
 	placerReq    placer.Request
 	waitingSince time.Time
-	latestStart  time.Time     // latest start at which an engine meets the objective
-	rank         int64         // latestStart in milliseconds, by the clock of the request's entry VM
-	priority     ml.Priority   // as the operators rank it
-	ranks        ml.RankRange  // of the requests for its service
+	latestStart  time.Time    // latest start at which an engine meets the objective
+	rank         int64        // latestStart in milliseconds, by the clock of the request's entry VM
+	priority     ml.Priority  // as the operators rank it
+	ranks        ml.RankRange // of the requests for its service
+	team         ml.TeamID
+	isBehind     bool          // its team uses more than its share; guarded by the queue's mutex
 	shared       bool          // sent to the other entry VMs
 	outranked    bool          // more urgent requests need all free slots
 	maxIdleWait  time.Duration // while no endpoint can take it at all
@@ -214,9 +216,19 @@
 	qu.items = slices.DeleteFunc(qu.items, func(it *item) bool { return it.ask != nil && it.ask.From == from && slices.Contains(ids, it.id) })
 }
 
+// setBehind records which requests go behind since their teams use more than their share.
+func (qu *queue) setBehind(items []*item, behind map[ml.ServiceName]map[ml.TeamID]bool) {
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	for _, it := range items {
+		it.isBehind = behind[it.service][it.team]
+	}
+}
+
 // sortByUrgency sorts waiting requests, the most urgent first. Those that can no
-// longer meet their objective come last, and within both groups higher ranks first. The order is
-// the same at all entry VMs.
+// longer meet their objective come last. Within both groups higher ranks go first, and within a
+// rank teams that use no more than their share. The order is the same at all entry VMs that know
+// the same.
 func sortByUrgency(items []*item, now time.Time) {
 	slices.SortStableFunc(items, func(a, b *item) int {
 		return compareUrgency(a, b, now)
@@ -225,7 +237,7 @@
 
 // compareUrgency returns a negative number if a goes before b.
 func compareUrgency(a, b *item, now time.Time) int {
-	return cmp.Or(latenessGroup(a, now)-latenessGroup(b, now), cmp.Compare(a.agedRank(now), b.agedRank(now)), cmp.Compare(a.rank, b.rank), cmp.Compare(a.id, b.id))
+	return cmp.Or(latenessGroup(a, now)-latenessGroup(b, now), cmp.Compare(a.agedRank(now), b.agedRank(now)), a.shareGroup()-b.shareGroup(), cmp.Compare(a.rank, b.rank), cmp.Compare(a.id, b.id))
 }
 
 // agedRank returns the rank of a request after its waiting time.
@@ -233,6 +245,14 @@
 	return ranker.Aged(now, it.waitingSince, it.priority, it.ranks)
 }
 
+// shareGroup is 1 for a request whose team uses more than its share, and 0 for others.
+func (it *item) shareGroup() int {
+	if it.isBehind {
+		return 1
+	}
+	return 0
+}
+
 func latenessGroup(it *item, now time.Time) int {
 	if it.latestStart.Before(now) {
 		return 1
--- a/internal/duty/forwarder/rank_test.go
+++ b/internal/duty/forwarder/rank_test.go
@@ -61,32 +61,61 @@
 	return rq
 }
 
-// TestHigherRanksFirst replays twice the load that fits, of requests that differ in nothing but
-// their rank: the higher rank begins in time, and the lower one is not starved.
-func TestHigherRanksFirst(t *testing.T) {
+// replay sends requests at a constant rate, each of the kind that a name stands for, to an engine
+// that can serve four a second. It returns how many of each kind there were, and how many began in
+// time.
+func replay(t *testing.T, perSecond, seconds int, kinds []string, newRequest func(kind string) *Request) (asked, inTime map[string]int64) {
+	asked, inTime = make(map[string]int64), make(map[string]int64)
 	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer synctest.Wait()
 		defer cancel()
-		const slots, perSecond, seconds = 5, 8, 30 // one slot is kept for others, so that four a second fit
 		fo := newForwarder(ctx, "vm", &atomic.Int64{})
 		fo.Exchanger = busyExchanger{silentExchanger{&atomic.Int64{}, &atomic.Int64{}}}
-		asked, inTime := map[ml.Priority]int64{}, map[ml.Priority]*atomic.Int64{0: {}, 2: {}}
+		begun := make(map[string]*atomic.Int64)
 		for i := range perSecond * seconds {
-			rank := ml.Priority(2)
-			if i%4 == 0 {
-				rank = 0
+			kind := kinds[i%len(kinds)]
+			if begun[kind] == nil {
+				begun[kind] = &atomic.Int64{}
 			}
-			asked[rank]++
-			rq := ranked(rank, slots)
-			go fo.Forward(ctx, rq, beginRecorder{due: rq.FirstEventTarget, inTime: inTime[rank]})
-			time.Sleep(time.Second / perSecond)
+			asked[kind]++
+			rq := newRequest(kind)
+			go fo.Forward(ctx, rq, beginRecorder{due: rq.FirstEventTarget, inTime: begun[kind]})
+			time.Sleep(time.Second / time.Duration(perSecond))
 		}
 		time.Sleep(10 * time.Second)
-		g.Expect(inTime[0].Load()).To(gomega.Equal(asked[0]), "of the higher rank")
-		g.Expect(inTime[2].Load()).To(gomega.BeNumerically(">", asked[2]/4), "of the lower rank")
+		for kind, n := range begun {
+			inTime[kind] = n.Load()
+		}
+	})
+	return asked, inTime
+}
+
+// replaySlots is the number of slots of the engine in replay, of which one is kept for others.
+const replaySlots = 5
+
+// TestHigherRanksFirst replays twice the load that fits, of requests that differ in nothing but
+// their rank: the higher rank begins in time, and the lower one is not starved.
+func TestHigherRanksFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ranks := map[string]ml.Priority{"high": 0, "low": 2}
+	asked, inTime := replay(t, 8, 30, []string{"high", "low", "low", "low"}, func(kind string) *Request { return ranked(ranks[kind], replaySlots) })
+	g.Expect(inTime["high"]).To(gomega.Equal(asked["high"]))
+	g.Expect(inTime["low"]).To(gomega.BeNumerically(">", asked["low"]/4))
+}
+
+// TestTeamsShare replays twice the load that fits, six callers in seven of one team: the other
+// team, far below its half, is served in full, and what it leaves is used.
+func TestTeamsShare(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kinds := []string{"large", "large", "large", "large", "large", "large", "small"}
+	asked, inTime := replay(t, 8, 35, kinds, func(kind string) *Request {
+		rq := ranked(0, replaySlots)
+		rq.Spec.Ranks, rq.Outgoing.Team = ml.RankRange{}, ml.TeamID(kind)
+		return rq
 	})
+	g.Expect(inTime["small"]).To(gomega.Equal(asked["small"]))
+	g.Expect(inTime["large"]).To(gomega.BeNumerically(">", asked["large"]/4))
 }
 
 // TestRankOrder checks the order of a queue, and that waiting moves a request up.
@@ -149,14 +178,20 @@
 	fo := newColdFleet(1, 1, 1).all[0]
 	now := time.Now()
 	rq := ranked(2, 4)
+	rq.Outgoing.Team = "team"
 	own := fo.newOwnItem(now, rq)
 	pr := fo.placementRequest(now, own, nil)
 	sent := tracker.EncodePlacementRequest(now, &pr)
 	received := tracker.DecodePlacementRequest(now, &sent)
 	it := newAskedItem(now, &received, rq.Spec)
 	g.Expect(it.priority).To(gomega.Equal(ml.Priority(2)))
-	fl := newFlights(now, it, &placement{lead: ml.ListedEndpoint{}})[0]
-	g.Expect(fl.Weight).To(gomega.Equal(0.25))
+	g.Expect(it.team).To(gomega.Equal(ml.TeamID("team")))
+	fo.Tracker.AddFlight(now, newFlights(now, it, &placement{})[0])
+	other := &tracker.Tracker{}
+	other.ApplyPeerUpdate(now, fo.Tracker.Snapshot(now))
+	fl := other.Flights(now)[""][0]
+	g.Expect(fl.Weight).To(gomega.Equal(0.25), "what a new scheduler learns of it")
+	g.Expect(fl.Team).To(gomega.Equal(ml.TeamID("team")))
 	received.Priority = nil
 	it = newAskedItem(now, &received, rq.Spec)
 	g.Expect(it.priority).To(gomega.Equal(ml.Priority(0)))
--- a/internal/duty/forwarder/round.go
+++ b/internal/duty/forwarder/round.go
@@ -85,6 +85,7 @@
 
 // scheduleAll decides on the waiting requests of all entry VMs, which are in the queue.
 func (fo *Forwarder) scheduleAll(ro *round, items []*item) {
+	fo.shareAmongTeams(ro, items)
 	sortByUrgency(items, ro.now)
 	for _, it := range items {
 		if de, decided := fo.decide(ro, it); decided {
@@ -97,6 +98,7 @@
 // placement of those of its peers.
 func (fo *Forwarder) scheduleWithPeers(ro *round, items []*item) {
 	items = append(items, fo.peerItems(ro.now, items)...)
+	fo.shareAmongTeams(ro, items)
 	sortByUrgency(items, ro.now)
 	unseen := fo.expectedUnseen(ro.now, ro.flights)
 	placeable := make(map[ml.FlightID]time.Time)
@@ -153,7 +155,7 @@
 		Profile: profile, Prompt: qr.Prompt, Answer: qr.Answer, FirstEventTarget: qr.FirstEventTarget,
 		FirstEventDeadline: qr.FirstEventDeadline, GapTarget: qr.GapTarget, Value: qr.Value, Domain: domain,
 	}
-	it := &item{id: qr.ID, service: qr.Service, placerReq: pr, waitingSince: now, rank: qr.Rank, latestStart: pr.LatestStart()}
+	it := &item{id: qr.ID, service: qr.Service, placerReq: pr, waitingSince: now, rank: qr.Rank, latestStart: pr.LatestStart(), team: qr.Team}
 	it.setRank(qr.Priority, ranks)
 	return it
 }
@@ -163,7 +165,7 @@
 	return ml.QueuedRequest{
 		ID: it.id, Service: it.service, Prompt: it.placerReq.Prompt, Answer: it.placerReq.Answer,
 		FirstEventTarget: it.placerReq.FirstEventTarget, FirstEventDeadline: it.placerReq.FirstEventDeadline,
-		GapTarget: it.placerReq.GapTarget, Value: it.placerReq.Value, Rank: it.rank, Priority: &it.priority,
+		GapTarget: it.placerReq.GapTarget, Value: it.placerReq.Value, Rank: it.rank, Priority: &it.priority, Team: it.team,
 	}
 }
 
@@ -353,7 +355,7 @@
 		SentAt: now, PrefillTime: forecaster.PrefillTime(profile, it.placerReq.Prompt, parts),
 		DecodeTime:       forecaster.DecodeTime(profile, it.placerReq.Prompt, it.placerReq.Answer),
 		FirstEventTarget: it.placerReq.FirstEventTarget, FirstEventDeadline: it.placerReq.FirstEventDeadline,
-		GapTarget: it.placerReq.GapTarget, Value: it.placerReq.Value,
+		GapTarget: it.placerReq.GapTarget, Value: it.placerReq.Value, Team: it.team,
 	}
 	if it.ranks.Differ() {
 		base.Weight = ranker.Weight(it.priority, it.ranks)
--- a/internal/duty/forwarder/stalepeers.go
+++ b/internal/duty/forwarder/stalepeers.go
@@ -12,6 +12,7 @@
 // requests are ahead of it than the engines have free slots.
 func (fo *Forwarder) scheduleWithStalePeers(ro *round, items []*item) {
 	all := append(fo.peerItems(ro.now, items), items...)
+	fo.shareAmongTeams(ro, all)
 	sortByUrgency(all, ro.now)
 	unseen := fo.expectedUnseen(ro.now, ro.flights)
 	ahead := 0
--- a/internal/state/tracker/shared.go
+++ b/internal/state/tracker/shared.go
@@ -12,7 +12,7 @@
 	sf := ml.SharedFlight{
 		ID: fl.ID, Endpoint: fl.Endpoint, SentAgeMs: now.Sub(fl.SentAt).Milliseconds(), PrefillUs: fl.PrefillTime.Microseconds(),
 		DecodeMs: fl.DecodeTime.Milliseconds(), Memory: fl.Memory, FirstEventTargetMs: fl.FirstEventTarget.Sub(now).Milliseconds(),
-		FirstEventDeadlineMs: fl.FirstEventDeadline.Sub(now).Milliseconds(), GapTargetMs: fl.GapTarget.Milliseconds(), Value: fl.Value, Weight: fl.Weight, Partial: fl.Partial, Helper: fl.Helper, Reserved: fl.Reserved,
+		FirstEventDeadlineMs: fl.FirstEventDeadline.Sub(now).Milliseconds(), GapTargetMs: fl.GapTarget.Milliseconds(), Value: fl.Value, Weight: fl.Weight, Team: fl.Team, Partial: fl.Partial, Helper: fl.Helper, Reserved: fl.Reserved,
 	}
 	if !fl.FirstEventAt.IsZero() {
 		// At least 1, since 0 means that no event has arrived.
@@ -27,7 +27,7 @@
 		ID: sf.ID, Endpoint: sf.Endpoint, SentAt: now.Add(-time.Duration(sf.SentAgeMs) * time.Millisecond),
 		PrefillTime: time.Duration(sf.PrefillUs) * time.Microsecond, DecodeTime: time.Duration(sf.DecodeMs) * time.Millisecond,
 		Memory: sf.Memory, FirstEventTarget: now.Add(time.Duration(sf.FirstEventTargetMs) * time.Millisecond),
-		FirstEventDeadline: now.Add(time.Duration(sf.FirstEventDeadlineMs) * time.Millisecond), GapTarget: time.Duration(sf.GapTargetMs) * time.Millisecond, Value: sf.Value, Weight: sf.Weight, Partial: sf.Partial, Helper: sf.Helper, Reserved: sf.Reserved,
+		FirstEventDeadline: now.Add(time.Duration(sf.FirstEventDeadlineMs) * time.Millisecond), GapTarget: time.Duration(sf.GapTargetMs) * time.Millisecond, Value: sf.Value, Weight: sf.Weight, Team: sf.Team, Partial: sf.Partial, Helper: sf.Helper, Reserved: sf.Reserved,
 	}
 	if sf.FirstEventAgeMs > 0 {
 		fl.FirstEventAt = now.Add(-time.Duration(sf.FirstEventAgeMs) * time.Millisecond)
@@ -39,7 +39,7 @@
 func encodeWaiting(now time.Time, qr ml.QueuedRequest) ml.SharedQueuedRequest {
 	return ml.SharedQueuedRequest{
 		ID: qr.ID, Service: qr.Service, Prompt: qr.Prompt, Answer: qr.Answer, FirstEventTargetMs: qr.FirstEventTarget.Sub(now).Milliseconds(),
-		FirstEventDeadlineMs: qr.FirstEventDeadline.Sub(now).Milliseconds(), GapTargetMs: qr.GapTarget.Milliseconds(), Value: qr.Value, Rank: qr.Rank, Priority: qr.Priority,
+		FirstEventDeadlineMs: qr.FirstEventDeadline.Sub(now).Milliseconds(), GapTargetMs: qr.GapTarget.Milliseconds(), Value: qr.Value, Rank: qr.Rank, Priority: qr.Priority, Team: qr.Team,
 	}
 }
 
@@ -47,7 +47,7 @@
 func decodeWaiting(now time.Time, sq ml.SharedQueuedRequest) ml.QueuedRequest {
 	return ml.QueuedRequest{
 		ID: sq.ID, Service: sq.Service, Prompt: sq.Prompt, Answer: sq.Answer, FirstEventTarget: now.Add(time.Duration(sq.FirstEventTargetMs) * time.Millisecond),
-		FirstEventDeadline: now.Add(time.Duration(sq.FirstEventDeadlineMs) * time.Millisecond), GapTarget: time.Duration(sq.GapTargetMs) * time.Millisecond, Value: sq.Value, Rank: sq.Rank, Priority: sq.Priority,
+		FirstEventDeadline: now.Add(time.Duration(sq.FirstEventDeadlineMs) * time.Millisecond), GapTarget: time.Duration(sq.GapTargetMs) * time.Millisecond, Value: sq.Value, Rank: sq.Rank, Priority: sq.Priority, Team: sq.Team,
 	}
 }
 
--- a/serving.go
+++ b/serving.go
@@ -162,6 +162,7 @@
 type Flight struct {
 	ID                 FlightID
 	Endpoint           EndpointID
+	Team               TeamID
 	SentAt             time.Time
 	FirstEventAt       time.Time     // zero during prefill
 	PrefillTime        time.Duration // engine time for the prompt, or for its part of the prompt
@@ -180,6 +181,15 @@
 	Reserved           bool          // for a stream that is still at another engine
 }
 
+// Places returns how many of the engine's slots the flight takes: parts that are prefilled for
+// another engine's answer take none.
+func (fl *Flight) Places() int {
+	if fl.Helper {
+		return 0
+	}
+	return 1
+}
+
 // QueuedRequest is a request in an entry VM's queue that waits for an engine.
 type QueuedRequest struct {
 	ID                 FlightID
@@ -193,6 +203,7 @@
 	Rank               int64 // sort key of the queue, lowest first; the same at all entry VMs
 	// Priority is nil for a request of an entry VM of an earlier release, which doesn't say it.
 	Priority *Priority
+	Team     TeamID
 }
 
 // Helper is an additional engine that prefills a part of a prompt.
