feat: a fresh engine costs a short answer less the fewer engines long prompts need

What long prompts need now is counted from the flights (decision/apportioner); what is left beyond it is free to take.

--- a/internal/decision/placer/loss.go
+++ b/internal/decision/placer/loss.go
@@ -19,7 +19,7 @@
 	if st.Endpoint.Domain != ch.rq.Domain {
 		base += crossDomainCost
 	}
-	base += occupancyCost * ch.addedOccupancy(st.engine) / float64(parts) / (1 + ch.rq.UnseenRequests/unseenHalvingCount) // only one member decodes
+	base += (1 - ch.rq.SpareEngines) * occupancyCost * ch.addedOccupancy(st.engine) / float64(parts) / (1 + ch.rq.UnseenRequests/unseenHalvingCount) // only one member decodes
 	me.lossNow = base + ch.gapLoss(st, part, parts, &me.startAt) + ch.delayLoss(st, part, parts)
 	me.lossLater = base
 	return me
@@ -105,6 +105,11 @@
 	return lateLossShare * ch.valueOf(fl) * added
 }
 
+// MaxPause returns the longest pause that meets an objective for certain.
+func MaxPause(target time.Duration) time.Duration {
+	return time.Duration(safeGapRatio * float64(target))
+}
+
 // gapMissProbability returns the probability that a pause misses its objective.
 func gapMissProbability(pause, target time.Duration) float64 {
 	return ramp(float64(pause)/float64(target), safeGapRatio, missedGapRatio)
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -82,6 +82,9 @@
 	// UnseenRequests is the estimated number of prompts that other entry VMs have
 	// placed and that this entry VM has not been informed of yet.
 	UnseenRequests float64
+	// SpareEngines is the share of the cost of an engine without such answers that is saved, since
+	// more are left than long prompts need.
+	SpareEngines float64
 	// IsExact means that the candidates' flights are all that there are, and that nobody else
 	// sends them more at the same moment.
 	IsExact bool
--- a/internal/decision/placer/placer_test.go
+++ b/internal/decision/placer/placer_test.go
@@ -92,7 +92,7 @@
 	rq := &placer.Request{
 		Profile: profile(), Prompt: prompt, Answer: 1600, FirstEventTarget: sc.now.Add(target), FirstEventDeadline: sc.now.Add(max(4*target, 2*time.Second)),
 		GapTarget: time.Duration(number(t, td, "gap", 250)) * time.Millisecond, Value: placer.RequestValue(prompt), Domain: "d",
-		UnseenRequests: float64(number(t, td, "unseen", 0)),
+		UnseenRequests: float64(number(t, td, "unseen", 0)), SpareEngines: float64(number(t, td, "sparePercent", 0)) / 100, IsExact: td.HasArg("exact"),
 	}
 	ch := placer.Choose(sc.now, rq, sc.candidates)
 	switch {
--- a/internal/duty/forwarder/round.go
+++ b/internal/duty/forwarder/round.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/apportioner"
 	"github.com/mulberrylever/mulberrylever/internal/decision/forecaster"
 	"github.com/mulberrylever/mulberrylever/internal/decision/placer"
 	"github.com/mulberrylever/mulberrylever/internal/decision/ranker"
@@ -232,6 +233,16 @@
 	return ca
 }
 
+// spareEngines returns the share of the cost of a fresh engine that a request need not pay.
+func (ro *round) spareEngines(it *item, rs *roundService) float64 {
+	lo := apportioner.Load{}
+	gap := it.placerReq.GapTarget
+	for i := range rs.candidates {
+		lo.Add(rs.candidates[i].Flights, gap, placer.MaxPause(gap))
+	}
+	return lo.Spare()
+}
+
 // addFlight records a flight that was decided on in this round.
 func (ro *round) addFlight(name ml.ServiceName, fl ml.Flight) {
 	ro.flights[fl.Endpoint] = append(ro.flights[fl.Endpoint], fl)
@@ -251,7 +262,7 @@
 	}
 	rs := fo.service(ro, it.service)
 	candidates, indexes := fo.candidatesFor(ro, it, rs)
-	it.placerReq.IsExact = ro.isExact
+	it.placerReq.IsExact, it.placerReq.SpareEngines = ro.isExact, ro.spareEngines(it, rs)
 	ch := it.choose(now, candidates)
 	if it.rq != nil && ch.Refused && ch.Available == 0 {
 		if left := fo.pauseLeft(now, rs.listings); left > 0 {
