--- a/internal/duty/forwarder/asker.go
+++ b/internal/duty/forwarder/asker.go
@@ -87,6 +87,9 @@
 func (fo *Forwarder) ask(ctx context.Context, now time.Time, address string, it *item, within time.Duration, excluded []ml.EndpointID) (ml.SharedPlacement, error) {
 	pr := fo.placementRequest(now, it, excluded)
 	pr.MaxIdleWait, pr.IsImmediate, pr.Replaces = it.maxIdleWait, it.isImmediate, it.replaces
+	if !it.silence.Since.IsZero() {
+		pr.Silence, pr.Patience = now.Sub(it.silence.Since), it.silence.Patience
+	}
 	sp := tracker.EncodePlacementRequest(now, &pr)
 	sp.ReplyWithinMs = within.Milliseconds()
 	ctx, cancel := context.WithTimeout(ctx, within+replyMargin)
--- a/internal/duty/forwarder/move.go
+++ b/internal/duty/forwarder/move.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/diagnoser"
 	"github.com/mulberrylever/mulberrylever/internal/decision/placer"
 	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 )
@@ -27,9 +29,10 @@
 	if fo.mustCarry(time.Now(), rq) {
 		return fo.leave(rq, cancel) // the engine is out of reach
 	}
-	pl := fo.reservePlace(ctx, time.Now(), rq, from)
+	pl, stay := fo.reservePlace(ctx, time.Now(), rq, from, wd.silence(rq))
 	if pl == nil {
-		fo.Log.Info("stays", "request", rq.Outgoing.Attempt, "endpoint", from.lead.ID, "events", events, "reason", "no place elsewhere")
+		fo.Log.Info("stays", "request", rq.Outgoing.Attempt, "endpoint", from.lead.ID, "events", events, "busyMs", stay.Milliseconds())
+		wd.stay = stay
 		return false
 	}
 	if !fo.keepsPlace(ctx, rq, pl) || wd.events.Load() != events || ctx.Err() != nil || !rq.reserved.CompareAndSwap(nil, pl) {
@@ -52,16 +55,17 @@
 	return true
 }
 
-// reservePlace places a stream at an endpoint other than the one where it is, if one can take it at once and
-// before its caller stops waiting. It returns nil if there is none.
-// The flights of its present attempt don't count, since they end as it moves.
-func (fo *Forwarder) reservePlace(ctx context.Context, now time.Time, rq *Request, from *placement) *placement {
+// reservePlace places a stream at an endpoint other than the one where it is, if one can take it at
+// once and before its caller stops waiting. The flights of its present attempt don't count, since
+// they end as it moves. Without a place, the second result is how long it stays since its engine is
+// busy, or 0.
+func (fo *Forwarder) reservePlace(ctx context.Context, now time.Time, rq *Request, from *placement, si diagnoser.Silence) (*placement, time.Duration) {
 	lead := from.lead.ID
 	if rq.Spec == nil || rq.Spec.Engine == nil {
-		return fo.chooseService(now, rq, false, lead)
+		return fo.chooseService(now, rq, false, lead), 0
 	}
 	it := fo.newItemFor(now, rq, rq.moveRequest(now, fo.Domain))
-	it.isImmediate, it.maxIdleWait, it.replaces = true, 0, from.flights[0].Request()
+	it.isImmediate, it.maxIdleWait, it.replaces, it.silence = true, 0, from.flights[0].Request(), si
 	it.exclude(&ml.PlacementRequest{Excluded: []ml.EndpointID{lead}})
 	if address, found := fo.scheduler(now); found {
 		return fo.reserveAt(ctx, now, address, it, lead)
@@ -77,32 +81,53 @@
 }
 
 // placeNow decides on a request without letting it wait, while no other decision is made. It
-// returns nil if no endpoint can take the request at once.
-func (fo *Forwarder) placeNow(now time.Time, it *item) *placement {
+// returns nil if no endpoint can take the request at once, or if the engine that it leaves is only
+// busy, and then for how long.
+func (fo *Forwarder) placeNow(now time.Time, it *item) (*placement, time.Duration) {
 	fo.deciding.Lock()
 	defer fo.deciding.Unlock()
 	ro := fo.newRound(now)
 	_, ro.isExact = fo.isScheduled(now)
+	if stay := ro.stayFor(it); stay > 0 {
+		return nil, stay
+	}
 	if !fo.couldPlace(ro, it) {
-		return nil
+		return nil, 0
 	}
 	de, _ := fo.decide(ro, it)
-	return de.placement
+	return de.placement, 0
+}
+
+// stayFor returns how long a silent stream stays at its engine, by what is known to be under way
+// there.
+func (ro *round) stayFor(it *item) time.Duration {
+	if it.silence.Since.IsZero() {
+		return 0
+	}
+	own := it.replaces.Flight(0)
+	for _, flights := range ro.flights {
+		at := slices.IndexFunc(flights, func(fl ml.Flight) bool { return fl.ID == own })
+		if at >= 0 {
+			return it.silence.StayFor(ro.now, slices.Delete(slices.Clone(flights), at, at+1))
+		}
+	}
+	return 0
 }
 
-// reserveAt asks a scheduler for a place at an engine other than the lead.
-func (fo *Forwarder) reserveAt(ctx context.Context, now time.Time, address string, it *item, lead ml.EndpointID) *placement {
+// reserveAt asks a scheduler for a place at an engine other than the lead. Without one, the second
+// result is how long the stream stays, as in reservePlace.
+func (fo *Forwarder) reserveAt(ctx context.Context, now time.Time, address string, it *item, lead ml.EndpointID) (*placement, time.Duration) {
 	sp, err := fo.ask(ctx, now, address, it, firstReplyTime, []ml.EndpointID{lead})
 	if err == nil && sp.Refusal != "" {
-		return nil
+		return nil, time.Duration(sp.StayMs) * time.Millisecond
 	}
 	if err == nil && !sp.IsWaiting {
 		if pl := fo.accept(time.Now(), it, &sp); pl != nil {
-			return pl
+			return pl, 0
 		}
 	}
 	fo.Tracker.RecordWithdrawn(it.id)
-	return nil
+	return nil, 0
 }
 
 // keepsPlace reports whether a place is this entry VM's own after all have heard of it. Where each
--- a/internal/duty/forwarder/move_test.go
+++ b/internal/duty/forwarder/move_test.go
@@ -144,3 +144,45 @@
 		}
 	}
 }
+
+// TestBusyEngineIsKept guards against streams that leave a sound engine while it prefills a part of
+// a long prompt, of which only the one that places prompts knows. Without such work the engine is
+// left as soon as it counts as silent.
+func TestBusyEngineIsKept(t *testing.T) {
+	for _, isScheduled := range []bool{false, true} {
+		for _, isBusy := range []bool{true, false} {
+			t.Run(fmt.Sprintf("scheduled %t, busy %t", isScheduled, isBusy), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				sent, moved, begin := &atomic.Int64{}, &atomic.Int64{}, make(chan struct{})
+				close(begin)
+				sf := newScheduledFleet(ctx, 2, 16)
+				fo := sf.all[1]
+				fo.Exchanger = pausingExchanger{silentExchanger{sent, &atomic.Int64{}}, 1500 * time.Millisecond, begin, moved}
+				scheduler := sf.all[0]
+				if isScheduled {
+					go sf.report(ctx, sf.all[0])
+				} else {
+					scheduler, fo.Scheduler = fo, nil
+				}
+				rq := pausedStream(16)
+				rq.FirstEventDeadline = rq.Arrived.Add(6 * time.Second)
+				ended := make(chan struct{})
+				go func() {
+					fo.Forward(ctx, rq, discardResponder{})
+					close(ended)
+				}()
+				g.Eventually(sent.Load, "1s", "1ms").Should(gomega.Equal(int64(1)))
+				if isBusy {
+					scheduler.Tracker.AddFlight(time.Now(), ml.Flight{ID: "long-1~1", Endpoint: "e", SentAt: time.Now(), PrefillTime: 1300 * time.Millisecond, Partial: true, Helper: true})
+				}
+				for _, fo := range sf.all {
+					fo.Catalog.Merge(time.Now(), []ml.KeyRecord{{Topic: "t", Key: "other", Value: []byte("x"), Offset: 1}}, nil)
+				}
+				g.Eventually(ended, "10s").Should(gomega.BeClosed())
+				g.Expect(moved.Load() == 0).To(gomega.Equal(isBusy))
+			})
+		}
+	}
+}
--- a/internal/duty/forwarder/queue.go
+++ b/internal/duty/forwarder/queue.go
@@ -8,6 +8,7 @@
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/diagnoser"
 	"github.com/mulberrylever/mulberrylever/internal/decision/placer"
 	"github.com/mulberrylever/mulberrylever/internal/decision/ranker"
 )
@@ -38,12 +39,13 @@
 	priority     ml.Priority  // as the operators rank it
 	ranks        ml.RankRange // of the requests for its service
 	team         ml.TeamID
-	isBehind     bool          // its team uses more than its share; guarded by the queue's mutex
-	shared       bool          // sent to the other entry VMs
-	outranked    bool          // more urgent requests need all free slots
-	maxIdleWait  time.Duration // while no endpoint can take it at all
-	isImmediate  bool          // does not wait
-	replaces     ml.FlightID   // request whose flights end when this one is placed; empty for none
+	isBehind     bool              // its team uses more than its share; guarded by the queue's mutex
+	shared       bool              // sent to the other entry VMs
+	outranked    bool              // more urgent requests need all free slots
+	maxIdleWait  time.Duration     // while no endpoint can take it at all
+	isImmediate  bool              // does not wait
+	replaces     ml.FlightID       // request whose flights end when this one is placed; empty for none
+	silence      diagnoser.Silence // of the engine that the request leaves; zero if it leaves none
 	result       chan decision
 }
 
--- a/internal/duty/forwarder/scheduler.go
+++ b/internal/duty/forwarder/scheduler.go
@@ -8,6 +8,7 @@
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/decision/detector"
+	"github.com/mulberrylever/mulberrylever/internal/decision/diagnoser"
 	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
 )
 
@@ -60,6 +61,9 @@
 	it := newItem(now, pr.QueuedRequest, spec.Engine, spec.Ranks, pr.Domain)
 	it.ask, it.spec, it.askedAt, it.maxIdleWait, it.result = pr, spec, now, pr.MaxIdleWait, make(chan decision, 1)
 	it.replaces = pr.Replaces
+	if pr.Silence > 0 {
+		it.silence = diagnoser.Silence{Since: now.Add(-pr.Silence), Patience: pr.Patience}
+	}
 	it.exclude(pr)
 	return it
 }
@@ -84,10 +88,11 @@
 
 // placeAskedNow places a request of another entry VM that does not wait.
 func (fo *Forwarder) placeAskedNow(now time.Time, pr *ml.PlacementRequest, spec *ml.ServiceSpec) ml.SharedPlacement {
-	if pl := fo.placeNow(now, newAskedItem(now, pr, spec)); pl != nil {
+	pl, stay := fo.placeNow(now, newAskedItem(now, pr, spec))
+	if pl != nil {
 		return sharedPlacement(&decision{placement: pl})
 	}
-	return ml.SharedPlacement{Refusal: noPlaceNow}
+	return ml.SharedPlacement{Refusal: noPlaceNow, StayMs: stay.Milliseconds()}
 }
 
 // noPlaceNow is the refusal of a request that does not wait.
--- a/internal/duty/forwarder/share_test.go
+++ b/internal/duty/forwarder/share_test.go
@@ -11,6 +11,7 @@
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/decision/attributor"
+	"github.com/mulberrylever/mulberrylever/internal/decision/diagnoser"
 	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
 	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
 )
@@ -61,14 +62,14 @@
 	fo.ColdOverage, fo.ColdSlack = 1, 0
 	rq.Arrived, rq.FirstEventDeadline = now, now.Add(4*time.Second)
 	from := &placement{lead: ml.ListedEndpoint{Endpoint: ml.Endpoint{ID: "e0"}}, flights: []ml.FlightID{"vm0-1~0"}}
-	pl := fo.reservePlace(t.Context(), now, rq, from)
+	pl, _ := fo.reservePlace(t.Context(), now, rq, from, diagnoser.Silence{})
 	if pl == nil || pl.lead.ID != "e1" {
 		t.Fatal("the stream can't go on at the other engine")
 	}
 	now = now.Add(time.Minute)
 	fo.endFlights(pl)
 	fo.Tracker.AddFlight(now, ml.Flight{ID: "f", Endpoint: "e1", SentAt: now})
-	if fo.reservePlace(t.Context(), now, rq, from) != nil {
+	if again, _ := fo.reservePlace(t.Context(), now, rq, from, diagnoser.Silence{}); again != nil {
 		t.Error("the stream is taken from its engine, but could not go on at the other one")
 	}
 }
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -14,6 +15,7 @@
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/diagnoser"
 	"github.com/mulberrylever/mulberrylever/internal/state/bounder"
 )
 
@@ -49,6 +51,8 @@
 	*time.Timer
 	gapTimeout time.Duration // time-out between events
 	events     atomic.Int64  // that were received
+	lastEvent  atomic.Int64  // when the latest one was received, in nanoseconds since the request's arrival
+	stay       time.Duration // for which the stream stays at its engine, which is busy
 	running    sync.Mutex    // held while it looks for another endpoint
 }
 
@@ -72,13 +76,24 @@
 		if ctx.Err() != nil {
 			return // fired while the attempt ended
 		}
+		wd.stay = 0
 		if !resumable || !fo.moveStream(ctx, rq, pl, wd, cancel) {
-			wd.Reset(wd.gapTimeout)
+			wd.Reset(cmp.Or(wd.stay, wd.gapTimeout))
 		}
 	})
 	return wd
 }
 
+// silence returns what is known of the silence of a stream's engine. It is zero before the first
+// event: until then the time-out follows from the prediction, which knows the work that is ahead.
+func (wd *watchdog) silence(rq *Request) diagnoser.Silence {
+	if wd.events.Load() == 0 {
+		return diagnoser.Silence{}
+	}
+	since := rq.Arrived.Add(time.Duration(wd.lastEvent.Load()))
+	return diagnoser.Silence{Since: since, Patience: rq.FirstEventDeadline.Sub(rq.Arrived)}
+}
+
 // resumable reports whether a stream may be resumed at another endpoint.
 func (rq *Request) resumable() bool {
 	return rq.Route.Kind == ml.RouteStream && rq.Route.Resumable && rq.possibleRuns+1 < rq.maxAttempts()
@@ -115,6 +130,7 @@
 			fo.recordFirstEvent(rq, pl, now.Sub(sent))
 		}
 		fo.Tracker.RecordEvent(now, pl.flights[0])
+		wd.lastEvent.Store(int64(now.Sub(rq.Arrived)))
 		wd.events.Add(1)
 		wd.Reset(wd.gapTimeout)
 		if err := fo.forwardEvent(rq, rs, an, ev); err != nil {
--- a/internal/state/tracker/shared.go
+++ b/internal/state/tracker/shared.go
@@ -56,6 +56,7 @@
 	return ml.SharedPlacementRequest{
 		SharedQueuedRequest: encodeWaiting(now, pr.QueuedRequest), From: pr.From, Domain: pr.Domain, Excluded: pr.Excluded, Allowed: pr.Allowed,
 		MaxIdleWaitMs: pr.MaxIdleWait.Milliseconds(), IsProbe: pr.IsProbe, IsImmediate: pr.IsImmediate, Replaces: pr.Replaces,
+		SilenceMs: pr.Silence.Milliseconds(), PatienceMs: pr.Patience.Milliseconds(),
 	}
 }
 
@@ -64,5 +65,6 @@
 	return ml.PlacementRequest{
 		QueuedRequest: decodeWaiting(now, sp.SharedQueuedRequest), From: sp.From, Domain: sp.Domain, Excluded: sp.Excluded, Allowed: sp.Allowed,
 		MaxIdleWait: time.Duration(sp.MaxIdleWaitMs) * time.Millisecond, IsProbe: sp.IsProbe, IsImmediate: sp.IsImmediate, Replaces: sp.Replaces,
+		Silence: time.Duration(sp.SilenceMs) * time.Millisecond, Patience: time.Duration(sp.PatienceMs) * time.Millisecond,
 	}
 }
--- a/scheduling.go
+++ b/scheduling.go
@@ -23,6 +23,9 @@
 	// Replaces names a request whose flights end as this one is placed, so that they don't
 	// count. It is empty for none.
 	Replaces FlightID
+	// Silence is the time since the latest event of a stream that looks for another engine, and
+	// Patience that for which its caller waits for one. They are 0 for other requests.
+	Silence, Patience time.Duration
 }
 
 // SharedPlacementRequest is a PlacementRequest in a message.
@@ -36,6 +39,8 @@
 	IsProbe       bool         `json:"t,omitempty"`
 	IsImmediate   bool         `json:"now,omitempty"`
 	Replaces      FlightID     `json:"rep,omitempty"`
+	SilenceMs     int64        `json:"sil,omitempty"`
+	PatienceMs    int64        `json:"pat,omitempty"`
 	// ReplyWithinMs is the time after which the scheduler replies that the request waits,
 	// if it has not decided by then.
 	ReplyWithinMs int64 `json:"n,omitempty"`
@@ -53,6 +58,9 @@
 	Usable       int           `json:"seen,omitempty"` // endpoints that could take the request
 	RecentSends  int           `json:"recent,omitempty"`
 	IsCold       bool          `json:"cold,omitempty"`
+	// StayMs is how long a silent stream stays at its engine, which is busy. Earlier releases
+	// don't say it.
+	StayMs int64 `json:"stay,omitempty"`
 }
 
 // EndpointRef names an incarnation of an endpoint.
