feat: routes' ranks weigh among requests that teams' ranks leave equal

The order of queues and what engines are told follow the effective rank alone; the weight of others' pauses and delays counts both. The weight goes with the ask and the flight; an earlier release says none, and its requests count in full.

--- a/exchange.go
+++ b/exchange.go
@@ -243,6 +243,7 @@
 	Value                float64     `json:"v"`
 	Rank                 int64       `json:"o"`
 	Priority             *Priority   `json:"pr,omitempty"`
+	Weight               float64     `json:"wt,omitempty"`
 	Team                 TeamID      `json:"tm,omitempty"`
 }
 
--- a/internal/decision/ranker/ranker.go
+++ b/internal/decision/ranker/ranker.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
@@ -35,24 +36,29 @@
 }
 
 func rangeOf(co *ml.ServingConfig, service ml.ServiceName) ml.RankRange {
-	rr, found := ml.RankRange{}, false
-	add := func(pr ml.Priority) {
-		if !found {
-			rr, found = ml.RankRange{Highest: pr, Lowest: pr}, true
-		}
-		rr.Highest, rr.Lowest = min(rr.Highest, pr), max(rr.Lowest, pr)
-	}
+	routes, teams, hasTeams := []ml.Priority{}, []ml.Priority{}, false
 	for i := range co.Routes {
-		if !co.Routes[i].LeadsTo(service) {
-			continue
+		if co.Routes[i].LeadsTo(service) {
+			routes = append(routes, co.Routes[i].Priority)
+			hasTeams = hasTeams || !co.Routes[i].Public
 		}
-		add(co.Routes[i].Priority)
-		for j := range co.Teams {
-			if pr := co.Teams[j].Priority; pr != nil && !co.Routes[i].Public {
-				add(*pr)
-			}
+	}
+	for i := range co.Teams {
+		if pr := co.Teams[i].Priority; pr != nil && hasTeams {
+			teams = append(teams, *pr)
 		}
 	}
+	if len(routes) == 0 {
+		return ml.RankRange{}
+	}
+	all := slices.Concat(routes, teams)
+	if len(co.Teams) > 0 && len(teams) == len(co.Teams) {
+		all = teams // the routes' ranks are never effective
+	}
+	rr := ml.RankRange{Highest: slices.Min(all), Lowest: slices.Max(all), HighestRoute: slices.Min(routes)}
+	if len(teams) > 0 {
+		rr.HighestTeam, rr.LowestTeam = slices.Min(teams), slices.Max(teams)
+	}
 	return rr
 }
 
@@ -62,12 +68,23 @@
 }
 
 // Weight returns the factor by which the value of a request counts beside those of the other
-// requests for its service: 1 for the highest rank, and less below it. It is 1 where all have the same rank.
-func Weight(pr ml.Priority, rr ml.RankRange) float64 {
-	if !rr.Differ() {
+// requests for its service: 1 for the highest rank, and half for each rank below, of the team and of
+// the route. So routes count even where teams' ranks go before theirs. A team without a rank counts
+// like the lowest of those that have one.
+func Weight(ro *ml.Route, te *ml.TeamKeys, rr ml.RankRange) float64 {
+	team := rr.LowestTeam
+	if te != nil && te.Priority != nil {
+		team = *te.Priority
+	}
+	return math.Pow(weightPerRank, -float64(team-rr.HighestTeam+ro.Priority-rr.HighestRoute))
+}
+
+// AgedWeight returns the weight at now of a request that has waited since a time. 0 counts as 1.
+func AgedWeight(now, since time.Time, weight float64) float64 {
+	if weight == 0 {
 		return 1
 	}
-	return math.Pow(weightPerRank, float64(rr.Highest-pr))
+	return min(weight*math.Pow(weightPerRank, float64(now.Sub(since)/ageStep)), 1)
 }
 
 // ForEngine returns the rank that an engine is told: that of the request where ranks differ, and
--- a/internal/decision/ranker/ranker_test.go
+++ b/internal/decision/ranker/ranker_test.go
@@ -73,6 +73,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	aged := ranker.Aged(since.Add(wait), since, pr, rr)
-	return fmt.Sprintf("rank %d, aged %d, weight %g, at the engine %d", pr, aged, ranker.Weight(aged, rr), ranker.ForEngine(pr, rr, 7))
+	now := since.Add(wait)
+	weight := ranker.AgedWeight(now, since, ranker.Weight(&sc.config.Routes[route], te, rr))
+	return fmt.Sprintf("rank %d, aged %d, weight %g, at the engine %d", pr, ranker.Aged(now, since, pr, rr), weight, ranker.ForEngine(pr, rr, 7))
 }
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -50,6 +50,7 @@
 	FirstEventDeadline time.Time   // when the caller stops waiting for it
 	Deadline           time.Time   // of the complete response
 	Priority           ml.Priority // effective rank
+	Weight             float64     // by rank, beside other requests for the service; 0 counts as 1
 	IsCarried          bool        // another entry VM has handed it over, and counts it as a request
 	CarriedAttempts    int         // that may run, if it is carried
 
--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -81,7 +81,7 @@
 func (fo *Forwarder) newItemFor(now time.Time, rq *Request, pr placer.Request) *item {
 	it := &item{
 		id: fo.newFlightID(), rq: rq, service: rq.Service, placerReq: pr, waitingSince: now, result: make(chan decision, 1),
-		latestStart: pr.LatestStart(), maxIdleWait: rq.Route.Target / noEndpointWaitDivisor, team: rq.Outgoing.Team,
+		latestStart: pr.LatestStart(), maxIdleWait: rq.Route.Target / noEndpointWaitDivisor, team: rq.Outgoing.Team, weight: rq.Weight,
 	}
 	it.setRank(&rq.Priority, rq.ranks())
 	it.rank = fo.StartedAt.UnixMilli() + it.latestStart.Sub(fo.StartedAt).Milliseconds() // unaffected by changes of the wall clock
--- a/internal/duty/forwarder/queue.go
+++ b/internal/duty/forwarder/queue.go
@@ -37,6 +37,7 @@
 	latestStart  time.Time    // latest start at which an engine meets the objective
 	rank         int64        // latestStart in milliseconds, by the clock of the request's entry VM
 	priority     ml.Priority  // as the operators rank it
+	weight       float64      // by rank; 0 counts as 1
 	ranks        ml.RankRange // of the requests for its service
 	team         ml.TeamID
 	isBehind     bool              // its team uses more than its share; guarded by the queue's mutex
--- a/internal/duty/forwarder/rank_test.go
+++ b/internal/duty/forwarder/rank_test.go
@@ -13,6 +13,7 @@
 	"github.com/onsi/gomega"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/ranker"
 	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
 )
 
@@ -56,6 +57,7 @@
 func ranked(rank ml.Priority, slots int) *Request {
 	rq := request(slots)
 	rq.Spec.Ranks, rq.Priority = ml.RankRange{Highest: 0, Lowest: 2}, rank
+	rq.Weight = ranker.Weight(&ml.Route{Priority: rank}, nil, rq.Spec.Ranks)
 	rq.Answer, rq.Route.Target = 1000, 2*time.Second
 	rq.FirstEventTarget, rq.FirstEventDeadline = rq.Arrived.Add(2*time.Second), rq.Arrived.Add(8*time.Second)
 	return rq
--- a/internal/duty/forwarder/round.go
+++ b/internal/duty/forwarder/round.go
@@ -156,7 +156,7 @@
 		Profile: profile, Prompt: qr.Prompt, Answer: qr.Answer, FirstEventTarget: qr.FirstEventTarget,
 		FirstEventDeadline: qr.FirstEventDeadline, GapTarget: qr.GapTarget, Value: qr.Value, Domain: domain,
 	}
-	it := &item{id: qr.ID, service: qr.Service, placerReq: pr, waitingSince: now, rank: qr.Rank, latestStart: pr.LatestStart(), team: qr.Team}
+	it := &item{id: qr.ID, service: qr.Service, placerReq: pr, waitingSince: now, rank: qr.Rank, latestStart: pr.LatestStart(), team: qr.Team, weight: qr.Weight}
 	it.setRank(qr.Priority, ranks)
 	return it
 }
@@ -166,7 +166,7 @@
 	return ml.QueuedRequest{
 		ID: it.id, Service: it.service, Prompt: it.placerReq.Prompt, Answer: it.placerReq.Answer,
 		FirstEventTarget: it.placerReq.FirstEventTarget, FirstEventDeadline: it.placerReq.FirstEventDeadline,
-		GapTarget: it.placerReq.GapTarget, Value: it.placerReq.Value, Rank: it.rank, Priority: &it.priority, Team: it.team,
+		GapTarget: it.placerReq.GapTarget, Value: it.placerReq.Value, Rank: it.rank, Priority: &it.priority, Weight: it.weight, Team: it.team,
 	}
 }
 
@@ -295,10 +295,9 @@
 // choose decides where a waiting request goes by the rank to which it has moved up. One that is
 // refused by its rank, but would not be as it moves up further, waits.
 func (it *item) choose(now time.Time, candidates []placer.Candidate) placer.Choice {
-	aged := it.agedRank(now)
-	it.placerReq.Weight = ranker.Weight(aged, it.ranks)
+	it.placerReq.Weight = ranker.AgedWeight(now, it.waitingSince, it.weight)
 	ch := placer.Choose(now, &it.placerReq, candidates)
-	if !ch.Refused || aged == it.ranks.Highest {
+	if !ch.Refused || it.placerReq.Weight == 1 {
 		return ch
 	}
 	it.placerReq.Weight = 1
@@ -366,10 +365,7 @@
 		SentAt: now, PrefillTime: forecaster.PrefillTime(profile, it.placerReq.Prompt, parts),
 		DecodeTime:       forecaster.DecodeTime(profile, it.placerReq.Prompt, it.placerReq.Answer),
 		FirstEventTarget: it.placerReq.FirstEventTarget, FirstEventDeadline: it.placerReq.FirstEventDeadline,
-		GapTarget: it.placerReq.GapTarget, Value: it.placerReq.Value, Team: it.team,
-	}
-	if it.ranks.Differ() {
-		base.Weight = ranker.Weight(it.priority, it.ranks)
+		GapTarget: it.placerReq.GapTarget, Value: it.placerReq.Value, Team: it.team, Weight: it.weight,
 	}
 	out := make([]ml.Flight, 0, parts)
 	for i, ep := range pl.endpoints() {
--- a/serving.go
+++ b/serving.go
@@ -27,7 +27,11 @@
 const MaxPriority Priority = 9
 
 // RankRange holds the ranks that the requests for a service may have.
-type RankRange struct{ Highest, Lowest Priority }
+type RankRange struct {
+	Highest, Lowest         Priority // effective ones
+	HighestRoute            Priority // of the routes
+	HighestTeam, LowestTeam Priority // of the teams that have one; 0 if none has
+}
 
 // Differ reports whether there is more than one rank.
 func (rr RankRange) Differ() bool { return rr.Highest != rr.Lowest }
@@ -203,6 +207,7 @@
 	Rank               int64 // sort key of the queue, lowest first; the same at all entry VMs
 	// Priority is nil for a request of an entry VM of an earlier release, which doesn't say it.
 	Priority *Priority
+	Weight   float64 // as of a flight
 	Team     TeamID
 }
 
