feat: second copies of slow calls that may be repeated, within a share that operators set

Also: the watchdog is created under its lock, and the check of reserved memory gets the holds by value (race detector); teams behind are logged once a second at the most.

--- a/internal/command/commander/commander.go
+++ b/internal/command/commander/commander.go
@@ -124,16 +124,25 @@
 	MetricsPort int    `long:"metrics-port" default:"0" description:"port of the metrics; 0 for none"`
 	LogLevel    string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of what is logged"`
 	release     string
+
+	HedgePercent float64 `long:"hedge-percent" default:"0" description:"second copies of slow calls that may be repeated, as a share of the requests in percent; 0 for none"`
 }
 
+// maxHedgePercent bounds the share of requests that are sent twice: beyond it the second copies make
+// endpoints slow themselves.
+const maxHedgePercent = 20
+
 // Execute runs the entry VM's process with the settings that the users'
 // platform provides.
 func (fr *frontCommand) Execute([]string) error {
+	if fr.HedgePercent < 0 || fr.HedgePercent > maxHedgePercent {
+		return fmt.Errorf("--hedge-percent: must be from 0 to %d (got %g)", maxHedgePercent, fr.HedgePercent)
+	}
 	ss, err := platform.LoadSettings()
 	if err != nil {
 		return err
 	}
-	sv := &platform.Server{Settings: ss, Release: fr.release, MetricsPort: fr.MetricsPort, LogLevel: parseLogLevel(fr.LogLevel)}
+	sv := &platform.Server{HedgePercent: fr.HedgePercent, Settings: ss, Release: fr.release, MetricsPort: fr.MetricsPort, LogLevel: parseLogLevel(fr.LogLevel)}
 	return sv.Run(context.Background())
 }
 
--- a/internal/duty/forwarder/attempt.go
+++ b/internal/duty/forwarder/attempt.go
@@ -57,14 +57,14 @@
 	wd := fo.startWatchdog(ctx, rq, pl, cancel)
 	defer wd.end(cancel)
 	if len(pl.holds) > 0 {
-		go fo.runHoldCheck(ctx, rq, pl, wd, cancel)
+		go fo.runHoldCheck(ctx, rq, pl, pl.holds, wd, cancel)
 	}
 	out := rq.outgoing(pl)
-	out.OnSent = func() { fo.Tracker.RecordSent(time.Now(), pl.flights[0]) }
+	out.OnSent = fo.onSent(pl)
 	sent := time.Now()
 	fo.Reacher.RecordSend(sent, rq.Service)
 	defer fo.Reacher.RecordEnd(rq.Service)
-	an, err := fo.Exchanger.Exchange(ctx, pl.lead, out)
+	an, err := fo.exchange(ctx, rq, pl, out)
 	if err != nil {
 		er := ml.AsError("exchange", err)
 		if !er.NotRun {
@@ -95,6 +95,12 @@
 	return fo.forwardBuffered(rq, rs, pl, an)
 }
 
+// onSent returns the function that records that a request was written to its first endpoint.
+func (fo *Forwarder) onSent(pl *placement) func() {
+	id := pl.flights[0]
+	return func() { fo.Tracker.RecordSent(time.Now(), id) }
+}
+
 // outgoing returns the request as it is sent to an endpoint.
 func (rq *Request) outgoing(pl *placement) *ml.OutboundRequest {
 	out := rq.Outgoing
--- a/internal/duty/forwarder/doubles_test.go
+++ b/internal/duty/forwarder/doubles_test.go
@@ -57,6 +57,7 @@
 // noMeter discards metrics.
 type noMeter struct{}
 
+func (noMeter) Hedged(*Request, bool)                             {}
 func (noMeter) MemoryGivenBack(*Request)                          {}
 func (noMeter) Finished(*Request, string, time.Duration)          {}
 func (noMeter) Placed(*Request, time.Duration)                    {}
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -133,12 +133,18 @@
 	RetryPerCent float64
 	RetryBurst   int
 
+	// HedgePerCent bounds second copies of requests, sent to another endpoint since the first one
+	// is slow, as a share of the requests. 0 means none.
+	HedgePerCent float64
+
 	// MaxHoldIdle is the longest time that memory may stay reserved at an engine while no
 	// request uses it. 0 means no limit.
 	MaxHoldIdle time.Duration
 
 	queue              queue
-	teamsBehind        map[ml.TeamID]bool        // that use more than their share; used by Run only
+	hedges             hedges
+	teamsBehind        map[ml.TeamID]bool        // that use more than their share, as last logged; used by Run only
+	teamsLoggedAt      time.Time                 // when they were logged
 	peerPlaceableSince map[ml.FlightID]time.Time // since when peer requests could have been placed; used by Run only
 	lastFlightNumber   atomic.Int64              // last number used in a flight id
 	choosing           sync.Mutex                // held by chooseService until the flight is recorded
@@ -159,6 +165,9 @@
 	// MemoryGivenBack records that memory was given back that was reserved for a request and
 	// not used.
 	MemoryGivenBack(rq *Request)
+	// Hedged records that a request was sent to a second endpoint, and whether that one was the
+	// first to answer.
+	Hedged(rq *Request, secondWon bool)
 	// Finished records that a request has ended.
 	Finished(rq *Request, outcome string, took time.Duration)
 }
@@ -199,6 +208,7 @@
 	defer release()
 	if !rq.IsCarried {
 		fo.retryBudget(rq.Service).RecordRequest(fo.RetryPerCent)
+		fo.hedges.recordRequest(fo.HedgePerCent)
 	}
 	defer fo.releasePlace(rq)
 	rq.lastEventID = rq.Outgoing.LastEventID
--- a/internal/duty/forwarder/hold.go
+++ b/internal/duty/forwarder/hold.go
@@ -108,7 +108,7 @@
 
 // runHoldCheck cancels an attempt whose reserved memory no request uses, so that it is given back
 // in time. It returns when the memory is used or ctx ends.
-func (fo *Forwarder) runHoldCheck(ctx context.Context, rq *Request, pl *placement, wd *watchdog, cancel context.CancelCauseFunc) {
+func (fo *Forwarder) runHoldCheck(ctx context.Context, rq *Request, pl *placement, holds []memoryHold, wd *watchdog, cancel context.CancelCauseFunc) {
 	re := reclaimer.Reclaimer{MaxIdle: fo.MaxHoldIdle, Term: holdTerm}
 	wait, limited := re.FirstCheck()
 	for limited {
@@ -116,7 +116,7 @@
 		if ctx.Err() != nil || wd.events.Load() > 0 {
 			return
 		}
-		use := fo.holdUse(ctx, pl.holds)
+		use := fo.holdUse(ctx, holds)
 		ve := re.Decide(time.Now(), pl.reservedAt, use)
 		if ve.Settled || ctx.Err() != nil {
 			return
--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -42,6 +42,7 @@
 	loss                float64
 	value               float64
 	usable              int       // endpoints that could take the request
+	running             int       // requests at the lead before this one, of a plain service
 	recentSends         int       // requests known to have been sent to the lead in the last second
 	cold                bool      // the lead was known to be cold
 	helperMemory        ml.Tokens // memory needed at each helper; 0 if the lead holds the whole prompt
--- a/internal/duty/forwarder/service.go
+++ b/internal/duty/forwarder/service.go
@@ -59,7 +59,7 @@
 	}
 	ep := candidates[at].Endpoint
 	isScheduled, _ := fo.isScheduled(now)
-	pl := &placement{lead: ep, usable: len(candidates), recentSends: fo.Tracker.RecentSends(now, ep.ID)}
+	pl := &placement{lead: ep, usable: len(candidates), running: candidates[at].Running, recentSends: fo.Tracker.RecentSends(now, ep.ID)}
 	fl := ml.Flight{ID: fo.newFlightID(), Endpoint: ep.ID, SentAt: now, FirstEventTarget: rq.FirstEventTarget, Unreported: isScheduled}
 	fo.Tracker.AddFlight(now, fl)
 	fo.Detector.RecordSend(now, ep.ID, ep.Incarnation)
--- a/internal/duty/forwarder/stream.go
+++ b/internal/duty/forwarder/stream.go
@@ -70,6 +70,8 @@
 	wd := &watchdog{gapTimeout: max(gapTimeoutFactor*rq.Route.GapTarget, minGapTimeout)}
 	wait := firstEventTimeFactor*pl.predictedFirstEvent + firstEventMargin
 	resumable := rq.resumable()
+	wd.running.Lock()
+	defer wd.running.Unlock()
 	wd.Timer = time.AfterFunc(wait, func() {
 		wd.running.Lock()
 		defer wd.running.Unlock()
--- a/internal/duty/forwarder/teams.go
+++ b/internal/duty/forwarder/teams.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/decision/equalizer"
@@ -27,7 +28,7 @@
 		behind[service] = te.Behind()
 	}
 	fo.queue.setBehind(items, behind)
-	fo.logBehind(behind)
+	fo.logBehind(ro.now, behind)
 }
 
 // runningByTeam returns what each team uses of the engines of a request's service.
@@ -45,15 +46,18 @@
 	return te
 }
 
+// minBehindInterval bounds how often it is logged which teams go behind.
+const minBehindInterval = time.Second
+
 // logBehind logs when other teams than before go behind.
-func (fo *Forwarder) logBehind(behind map[ml.ServiceName]map[ml.TeamID]bool) {
+func (fo *Forwarder) logBehind(now time.Time, behind map[ml.ServiceName]map[ml.TeamID]bool) {
 	teams := make(map[ml.TeamID]bool)
 	for _, all := range behind {
 		maps.Copy(teams, all)
 	}
-	if maps.Equal(teams, fo.teamsBehind) {
+	if maps.Equal(teams, fo.teamsBehind) || now.Sub(fo.teamsLoggedAt) < minBehindInterval {
 		return
 	}
-	fo.teamsBehind = teams
+	fo.teamsBehind, fo.teamsLoggedAt = teams, now
 	fo.Log.Info("teams behind", "teams", slices.Sorted(maps.Keys(teams)))
 }
