fix: engines that long prompts needed a moment ago stay kept for them

Now an engine counts as long as the long prompt's answer lasts, and the need falls by half in 1.5 s.

--- a/internal/decision/apportioner/apportioner.go
+++ b/internal/decision/apportioner/apportioner.go
@@ -15,12 +15,16 @@
 // time is kept beyond that number: arrivals are uneven.
 const spreadFactor = 1.5
 
+// needHalfLife is the time after which half of the engines that long prompts needed are given up, if
+// no further ones come.
+const needHalfLife = 1500 * time.Millisecond
+
 // Load is what the engines of one service do at a moment, as far as it concerns answers with one
 // objective for pauses.
 type Load struct {
 	Engines int // that can be used
 	Taken   int // of these, engines with such answers and no long prompt
-	Long    int // of these, engines that prefill a long prompt
+	Long    int // of these, engines with a long prompt or its answer
 }
 
 // Add counts an engine with its flights. The maximum pause is the longest prefill beside which
@@ -31,7 +35,7 @@
 	for i := range flights {
 		fl := &flights[i]
 		hasAnswers = hasAnswers || !fl.Helper && fl.GapTarget == gap
-		isLong = isLong || fl.FirstEventAt.IsZero() && fl.PrefillTime > maxPause
+		isLong = isLong || fl.PrefillTime > maxPause
 	}
 	switch {
 	case isLong:
@@ -41,11 +45,25 @@
 	}
 }
 
+// Need is the number of engines that long prompts have needed lately. The zero value is that of a
+// service without long prompts. It is not safe for concurrent use.
+type Need struct {
+	peak float64
+	at   time.Time
+}
+
+// Update returns the need at now, when some engines have long prompts: between two of these it falls
+// only slowly.
+func (ne *Need) Update(now time.Time, long int) float64 {
+	left := ne.peak * math.Exp2(-float64(now.Sub(ne.at))/float64(needHalfLife))
+	ne.peak, ne.at = max(left, float64(long)), now
+	return ne.peak
+}
+
 // Spare returns which share of the cost of another engine for short answers is saved: 0 if long
 // prompts need all engines that are left, and 1 if there are plenty.
-func (lo *Load) Spare() float64 {
-	need := float64(lo.Long)
-	kept := need + spreadFactor*math.Sqrt(need)
-	left := float64(lo.Engines-lo.Taken) - kept
-	return min(max(left/max(spreadFactor*math.Sqrt(need), 1), 0), 1)
+func (lo *Load) Spare(need float64) float64 {
+	margin := spreadFactor * math.Sqrt(need)
+	left := float64(lo.Engines-lo.Taken) - need - margin
+	return min(max(left/max(margin, 1), 0), 1)
 }
--- a/internal/decision/apportioner/apportioner_test.go
+++ b/internal/decision/apportioner/apportioner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,17 +20,34 @@
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+			if td.Cmd == "need" {
+				return needs(t, td)
+			}
 			lo := apportioner.Load{}
 			for _, arg := range td.CmdArgs {
 				for range countOf(t, td, arg) {
 					lo.Add(flightsOf(arg.Key), shortGap, shortGap)
 				}
 			}
-			return fmt.Sprintf("%.2f", lo.Spare())
+			return fmt.Sprintf("%.2f", lo.Spare(float64(lo.Long)))
 		})
 	})
 }
 
+// needs shows the need after each line of the input: the seconds since the start, and the engines
+// with long prompts at that time.
+func needs(t *testing.T, td *datadriven.TestData) string {
+	ne, out, start := apportioner.Need{}, "", time.Unix(1000, 0)
+	for line := range strings.Lines(td.Input) {
+		seconds, long := 0.0, 0
+		if _, err := fmt.Sscan(line, &seconds, &long); err != nil {
+			t.Fatalf("%s: %q: %v", td.Pos, line, err)
+		}
+		out += fmt.Sprintf("%.1f ", ne.Update(start.Add(time.Duration(seconds*float64(time.Second))), long))
+	}
+	return strings.TrimSpace(out)
+}
+
 // countOf returns the number of engines with the flights of an argument.
 func countOf(t *testing.T, td *datadriven.TestData, arg datadriven.CmdArg) int {
 	n := 0
--- a/internal/duty/forwarder/forwarder.go
+++ b/internal/duty/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/decision/apportioner"
 	"github.com/mulberrylever/mulberrylever/internal/decision/attributor"
 	"github.com/mulberrylever/mulberrylever/internal/decision/budgeter"
 	"github.com/mulberrylever/mulberrylever/internal/decision/detector"
@@ -142,6 +143,7 @@
 	MaxHoldIdle time.Duration
 
 	queue              queue
+	needs              map[needKey]*apportioner.Need // of engines without short answers; guarded by deciding
 	hedges             hedges
 	teamsBehind        map[ml.TeamID]bool        // that use more than their share, as last logged; used by Run only
 	teamsLoggedAt      time.Time                 // when they were logged
--- a/internal/duty/forwarder/round.go
+++ b/internal/duty/forwarder/round.go
@@ -233,14 +233,26 @@
 	return ca
 }
 
-// spareEngines returns the share of the cost of a fresh engine that a request need not pay.
-func (ro *round) spareEngines(it *item, rs *roundService) float64 {
-	lo := apportioner.Load{}
-	gap := it.placerReq.GapTarget
+// needKey names what a need of engines depends on.
+type needKey struct {
+	service ml.ServiceName
+	gap     time.Duration // objective for pauses of the answers that are kept away
+}
+
+// spareEngines returns the share of the cost of a fresh engine that a request need not pay. The
+// caller must hold fo.deciding.
+func (fo *Forwarder) spareEngines(ro *round, it *item, rs *roundService) float64 {
+	lo, key := apportioner.Load{}, needKey{it.service, it.placerReq.GapTarget}
 	for i := range rs.candidates {
-		lo.Add(rs.candidates[i].Flights, gap, placer.MaxPause(gap))
+		lo.Add(rs.candidates[i].Flights, key.gap, placer.MaxPause(key.gap))
+	}
+	if fo.needs == nil {
+		fo.needs = make(map[needKey]*apportioner.Need)
+	}
+	if fo.needs[key] == nil {
+		fo.needs[key] = &apportioner.Need{}
 	}
-	return lo.Spare()
+	return lo.Spare(fo.needs[key].Update(ro.now, lo.Long))
 }
 
 // addFlight records a flight that was decided on in this round.
@@ -262,7 +274,7 @@
 	}
 	rs := fo.service(ro, it.service)
 	candidates, indexes := fo.candidatesFor(ro, it, rs)
-	it.placerReq.IsExact, it.placerReq.SpareEngines = ro.isExact, ro.spareEngines(it, rs)
+	it.placerReq.IsExact, it.placerReq.SpareEngines = ro.isExact, fo.spareEngines(ro, it, rs)
 	ch := it.choose(now, candidates)
 	if it.rq != nil && ch.Refused && ch.Available == 0 {
 		if left := fo.pauseLeft(now, rs.listings); left > 0 {
