--- a/exchange.go
+++ b/exchange.go
@@ -241,7 +241,7 @@
 	FirstEventDeadlineMs int64       `json:"u"`
 	GapTargetMs          int64       `json:"g"`
 	Value                float64     `json:"v"`
-	Rank                 int64       `json:"o"`
+	SortKey              int64       `json:"o"`
 	Priority             *Priority   `json:"pr,omitempty"`
 	Weight               float64     `json:"wt,omitempty"`
 	Team                 TeamID      `json:"tm,omitempty"`
--- a/internal/duty/forwarder/forwarder_test.go
+++ b/internal/duty/forwarder/forwarder_test.go
@@ -57,7 +57,7 @@
 	sent := &atomic.Int64{}
 	fo := newForwarder(ctx, "vm", sent)
 	const slots = 2 // the placer keeps one free
-	stuck := ml.SharedQueuedRequest{ID: "stuck", Service: "lm", Prompt: 1000, Answer: 100, FirstEventTargetMs: 20_000, FirstEventDeadlineMs: 40_000, GapTargetMs: 1000, Value: 1, Rank: 1}
+	stuck := ml.SharedQueuedRequest{ID: "stuck", Service: "lm", Prompt: 1000, Answer: 100, FirstEventTargetMs: 20_000, FirstEventDeadlineMs: 40_000, GapTargetMs: 1000, Value: 1, SortKey: 1}
 	go func() {
 		for ctx.Err() == nil {
 			fo.Tracker.ApplyPeerUpdate(time.Now(), ml.ShareMessage{From: "other", Full: true, Waiting: []ml.SharedQueuedRequest{stuck}})
@@ -139,7 +139,7 @@
 	now := time.Now()
 	queued := func(id ml.FlightID, timeLeft time.Duration) *item {
 		pr := placer.Request{Profile: engineProfile(), Prompt: 5000, Answer: 1600, FirstEventTarget: now.Add(timeLeft)}
-		return &item{id: id, placerReq: pr, latestStart: pr.LatestStart(), rank: pr.LatestStart().UnixMilli()}
+		return &item{id: id, placerReq: pr, latestStart: pr.LatestStart(), sortKey: pr.LatestStart().UnixMilli()}
 	}
 	items := []*item{queued("late", 60*time.Millisecond), queued("new", 280*time.Millisecond), queued("next", 200*time.Millisecond)}
 	sortByUrgency(items, now)
@@ -175,9 +175,9 @@
 	update := func(waiting ...ml.SharedQueuedRequest) {
 		fo.Tracker.ApplyPeerUpdate(time.Now(), ml.ShareMessage{From: "other", Full: true, Waiting: waiting})
 	}
-	first := ml.SharedQueuedRequest{ID: "1", Service: "lm", Prompt: 1000, Answer: 100, FirstEventTargetMs: 20_000, FirstEventDeadlineMs: 40_000, GapTargetMs: 1000, Value: 1, Rank: 1}
+	first := ml.SharedQueuedRequest{ID: "1", Service: "lm", Prompt: 1000, Answer: 100, FirstEventTargetMs: 20_000, FirstEventDeadlineMs: 40_000, GapTargetMs: 1000, Value: 1, SortKey: 1}
 	second := first
-	second.ID, second.Rank = "2", 2
+	second.ID, second.SortKey = "2", 2
 	update(first, second)
 	go fo.Forward(ctx, request(slots), discardResponder{})
 	g.Consistently(sent.Load, "300ms", "5ms").Should(gomega.BeZero())
--- a/internal/duty/forwarder/place.go
+++ b/internal/duty/forwarder/place.go
@@ -85,7 +85,7 @@
 		latestStart: pr.LatestStart(), maxIdleWait: rq.Route.Target / noEndpointWaitDivisor, team: rq.Outgoing.Team, weight: rq.Weight,
 	}
 	it.setRank(&rq.Priority, rq.ranks())
-	it.rank = fo.StartedAt.UnixMilli() + it.latestStart.Sub(fo.StartedAt).Milliseconds() // unaffected by changes of the wall clock
+	it.sortKey = fo.StartedAt.UnixMilli() + it.latestStart.Sub(fo.StartedAt).Milliseconds() // unaffected by changes of the wall clock
 	return it
 }
 
--- a/internal/duty/forwarder/queue.go
+++ b/internal/duty/forwarder/queue.go
@@ -35,7 +35,7 @@
 	placerReq    placer.Request
 	waitingSince time.Time
 	latestStart  time.Time    // latest start at which an engine meets the objective
-	rank         int64        // latestStart in milliseconds, by the clock of the request's entry VM
+	sortKey      int64        // latestStart in milliseconds, by the clock of the request's entry VM
 	priority     ml.Priority  // as the operators rank it
 	weight       float64      // by rank; 0 counts as 1
 	ranks        ml.RankRange // of the requests for its service
@@ -240,7 +240,7 @@
 
 // compareUrgency returns a negative number if a goes before b.
 func compareUrgency(a, b *item, now time.Time) int {
-	return cmp.Or(latenessGroup(a, now)-latenessGroup(b, now), cmp.Compare(a.agedRank(now), b.agedRank(now)), a.shareGroup()-b.shareGroup(), cmp.Compare(a.rank, b.rank), cmp.Compare(a.id, b.id))
+	return cmp.Or(latenessGroup(a, now)-latenessGroup(b, now), cmp.Compare(a.agedRank(now), b.agedRank(now)), a.shareGroup()-b.shareGroup(), cmp.Compare(a.sortKey, b.sortKey), cmp.Compare(a.id, b.id))
 }
 
 // agedRank returns the rank of a request after its waiting time.
--- a/internal/duty/forwarder/rank_test.go
+++ b/internal/duty/forwarder/rank_test.go
@@ -125,7 +125,7 @@
 	g := gomega.NewWithT(t)
 	now := time.Unix(1_000_000, 0)
 	add := func(id ml.FlightID, rank ml.Priority, waited, left time.Duration) *item {
-		return &item{id: id, priority: rank, ranks: ml.RankRange{Lowest: 2}, waitingSince: now.Add(-waited), latestStart: now.Add(left), rank: now.Add(left).UnixMilli()}
+		return &item{id: id, priority: rank, ranks: ml.RankRange{Lowest: 2}, waitingSince: now.Add(-waited), latestStart: now.Add(left), sortKey: now.Add(left).UnixMilli()}
 	}
 	items := []*item{
 		add("late high", 0, 0, -time.Second), add("low", 2, 0, time.Second), add("high", 0, 0, 3*time.Second), add("waited", 2, 4*time.Second, 2*time.Second), add("middle", 1, 0, time.Second),
--- a/internal/duty/forwarder/round.go
+++ b/internal/duty/forwarder/round.go
@@ -156,7 +156,7 @@
 		Profile: profile, Prompt: qr.Prompt, Answer: qr.Answer, FirstEventTarget: qr.FirstEventTarget,
 		FirstEventDeadline: qr.FirstEventDeadline, GapTarget: qr.GapTarget, Value: qr.Value, Domain: domain,
 	}
-	it := &item{id: qr.ID, service: qr.Service, placerReq: pr, waitingSince: now, rank: qr.Rank, latestStart: pr.LatestStart(), team: qr.Team, weight: qr.Weight}
+	it := &item{id: qr.ID, service: qr.Service, placerReq: pr, waitingSince: now, sortKey: qr.SortKey, latestStart: pr.LatestStart(), team: qr.Team, weight: qr.Weight}
 	it.setRank(qr.Priority, ranks)
 	return it
 }
@@ -166,7 +166,7 @@
 	return ml.QueuedRequest{
 		ID: it.id, Service: it.service, Prompt: it.placerReq.Prompt, Answer: it.placerReq.Answer,
 		FirstEventTarget: it.placerReq.FirstEventTarget, FirstEventDeadline: it.placerReq.FirstEventDeadline,
-		GapTarget: it.placerReq.GapTarget, Value: it.placerReq.Value, Rank: it.rank, Priority: &it.priority, Weight: it.weight, Team: it.team,
+		GapTarget: it.placerReq.GapTarget, Value: it.placerReq.Value, SortKey: it.sortKey, Priority: &it.priority, Weight: it.weight, Team: it.team,
 	}
 }
 
--- a/internal/state/tracker/shared.go
+++ b/internal/state/tracker/shared.go
@@ -39,7 +39,7 @@
 func encodeWaiting(now time.Time, qr ml.QueuedRequest) ml.SharedQueuedRequest {
 	return ml.SharedQueuedRequest{
 		ID: qr.ID, Service: qr.Service, Prompt: qr.Prompt, Answer: qr.Answer, FirstEventTargetMs: qr.FirstEventTarget.Sub(now).Milliseconds(),
-		FirstEventDeadlineMs: qr.FirstEventDeadline.Sub(now).Milliseconds(), GapTargetMs: qr.GapTarget.Milliseconds(), Value: qr.Value, Rank: qr.Rank, Priority: qr.Priority, Weight: qr.Weight, Team: qr.Team,
+		FirstEventDeadlineMs: qr.FirstEventDeadline.Sub(now).Milliseconds(), GapTargetMs: qr.GapTarget.Milliseconds(), Value: qr.Value, SortKey: qr.SortKey, Priority: qr.Priority, Weight: qr.Weight, Team: qr.Team,
 	}
 }
 
@@ -47,7 +47,7 @@
 func decodeWaiting(now time.Time, sq ml.SharedQueuedRequest) ml.QueuedRequest {
 	return ml.QueuedRequest{
 		ID: sq.ID, Service: sq.Service, Prompt: sq.Prompt, Answer: sq.Answer, FirstEventTarget: now.Add(time.Duration(sq.FirstEventTargetMs) * time.Millisecond),
-		FirstEventDeadline: now.Add(time.Duration(sq.FirstEventDeadlineMs) * time.Millisecond), GapTarget: time.Duration(sq.GapTargetMs) * time.Millisecond, Value: sq.Value, Rank: sq.Rank, Priority: sq.Priority, Weight: sq.Weight, Team: sq.Team,
+		FirstEventDeadline: now.Add(time.Duration(sq.FirstEventDeadlineMs) * time.Millisecond), GapTarget: time.Duration(sq.GapTargetMs) * time.Millisecond, Value: sq.Value, SortKey: sq.SortKey, Priority: sq.Priority, Weight: sq.Weight, Team: sq.Team,
 	}
 }
 
--- a/serving.go
+++ b/serving.go
@@ -204,7 +204,7 @@
 	FirstEventDeadline time.Time
 	GapTarget          time.Duration
 	Value              float64
-	Rank               int64 // sort key of the queue, lowest first; the same at all entry VMs
+	SortKey            int64 // sort key of the queue, lowest first; the same at all entry VMs
 	// Priority is nil for a request of an entry VM of an earlier release, which doesn't say it.
 	Priority *Priority
 	Weight   float64 // as of a flight
