feat: a command that explains where a request would go now, without sending it

The answer comes from the same decisions as for a request that is sent; the candidates of plain calls are worked out in one place for both. Nothing is sent, queued or recorded (TestWhere, TestWhereByConfiguration).

--- a/internal/command/commander/commander.go
+++ b/internal/command/commander/commander.go
@@ -93,6 +93,7 @@
 	add(pa.Command, "report", "print the report on service-level burn", &reportCommand{})
 	add(pa.Command, "status", "print the status of every entry VM", &statusCommand{})
 	add(pa.Command, "explain", "print the history of one request from log files", &explainCommand{})
+	add(pa.Command, "where", "explain where a request would go now, without sending it", &whereCommand{})
 	add(pa.Command, "version", "print the release", &versionCommand{release: co.Release})
 }
 
--- a/internal/duty/forwarder/service.go
+++ b/internal/duty/forwarder/service.go
@@ -44,15 +44,7 @@
 func (fo *Forwarder) chooseService(now time.Time, rq *Request, mayRepeat bool, excluded ml.EndpointID) *placement {
 	fo.choosing.Lock()
 	defer fo.choosing.Unlock()
-	flights := fo.Tracker.Flights(now)
-	candidates := []placer.ServiceCandidate{}
-	for _, li := range fo.Catalog.Usable(now, rq.Service) {
-		ca := fo.candidate(now, li, flights[li.ID])
-		ca.Blocked = ca.Blocked || li.ID == excluded || fo.rateReached(now, rq, li) || !mayRepeat && slices.Contains(rq.triedEndpoints, li.ID)
-		candidates = append(candidates, placer.ServiceCandidate{
-			Endpoint: ca.Endpoint, Running: len(ca.Flights), FailureRate: ca.FailureRate, Blocked: ca.Blocked,
-		})
-	}
+	candidates := fo.serviceCandidates(now, rq, mayRepeat, excluded)
 	at := placer.ChooseService(fo.Domain, candidates, rand.Float64())
 	if at < 0 {
 		return nil
@@ -66,3 +58,17 @@
 	pl.flights = []ml.FlightID{fl.ID}
 	return pl
 }
+
+// serviceCandidates returns the endpoints from which that of a plain call is chosen.
+func (fo *Forwarder) serviceCandidates(now time.Time, rq *Request, mayRepeat bool, excluded ml.EndpointID) []placer.ServiceCandidate {
+	flights := fo.Tracker.Flights(now)
+	candidates := []placer.ServiceCandidate{}
+	for _, li := range fo.Catalog.Usable(now, rq.Service) {
+		ca := fo.candidate(now, li, flights[li.ID])
+		ca.Blocked = ca.Blocked || li.ID == excluded || fo.rateReached(now, rq, li) || !mayRepeat && slices.Contains(rq.triedEndpoints, li.ID)
+		candidates = append(candidates, placer.ServiceCandidate{
+			Endpoint: ca.Endpoint, Running: len(ca.Flights), FailureRate: ca.FailureRate, Blocked: ca.Blocked,
+		})
+	}
+	return candidates
+}
