--- a/internal/decision/ranker/ranker.go
+++ b/internal/decision/ranker/ranker.go
@@ -55,7 +55,7 @@
 	if len(co.Teams) > 0 && len(teams) == len(co.Teams) {
 		all = teams // the routes' ranks are never effective
 	}
-	rr := ml.RankRange{Highest: slices.Min(all), Lowest: slices.Max(all), HighestRoute: slices.Min(routes)}
+	rr := ml.RankRange{Highest: slices.Min(all), Lowest: slices.Max(all), HighestRoute: slices.Min(routes), LowestRoute: slices.Max(routes)}
 	if len(teams) > 0 {
 		rr.HighestTeam, rr.LowestTeam = slices.Min(teams), slices.Max(teams)
 	}
--- a/internal/duty/forwarder/round.go
+++ b/internal/duty/forwarder/round.go
@@ -239,9 +239,12 @@
 	gap     time.Duration // objective for pauses of the answers that are kept away
 }
 
-// spareEngines returns the share of the cost of a fresh engine that a request need not pay. The
-// caller must hold fo.deciding.
+// spareEngines returns the share of the cost of a fresh engine that a request need not pay. It is 0
+// where the operators rank no kind of request above others. The caller must hold fo.deciding.
 func (fo *Forwarder) spareEngines(ro *round, it *item, rs *roundService) float64 {
+	if !it.ranks.RoutesDiffer() {
+		return 0
+	}
 	lo, key := apportioner.Load{}, needKey{it.service, it.placerReq.GapTarget}
 	for i := range rs.candidates {
 		lo.Add(rs.candidates[i].Flights, key.gap, placer.MaxPause(key.gap))
--- a/serving.go
+++ b/serving.go
@@ -28,14 +28,17 @@
 
 // RankRange holds the ranks that the requests for a service may have.
 type RankRange struct {
-	Highest, Lowest         Priority // effective ones
-	HighestRoute            Priority // of the routes
-	HighestTeam, LowestTeam Priority // of the teams that have one; 0 if none has
+	Highest, Lowest           Priority // effective ones
+	HighestRoute, LowestRoute Priority // of the routes
+	HighestTeam, LowestTeam   Priority // of the teams that have one; 0 if none has
 }
 
 // Differ reports whether there is more than one rank.
 func (rr RankRange) Differ() bool { return rr.Highest != rr.Lowest }
 
+// RoutesDiffer reports whether the operators rank some kinds of requests above others.
+func (rr RankRange) RoutesDiffer() bool { return rr.HighestRoute != rr.LowestRoute }
+
 // RouteKind defines whether the requests of a route may be repeated.
 type RouteKind int
 
