--- a/review/7/stand/main.go
+++ b/review/7/stand/main.go
@@ -21,10 +21,11 @@
 
 const (
 	numFronts  = 15
-	idleRoutes = 350
+	idleRoutes = 1300
 	// The configs come each stormGap for stormTime, numStorms times with a pause.
-	stormGap, stormTime, numStorms, stormPause = 80 * time.Millisecond, 2 * time.Second, 6, time.Second
+	stormGap, stormTime, numStorms, stormPause = 80 * time.Millisecond, 2 * time.Second, 2, time.Second / 2
 
+	calmTime     = time.Second     // from the last of these configs to the cut
 	configApply  = 2 * time.Second // bound on the time until a config is in force
 	cutTime      = 12 * time.Second
 	maxCut       = numFronts * 35 / 100 // machines
@@ -115,7 +116,7 @@
 		}
 		time.Sleep(stormPause)
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(calmTime)
 	fronts := ri.Fronts
 	if rig.Trouble() {
 		fronts = da.cut()
