fix: what a connection carried before its reset is not a whole answer

Cause: the kernel reports that a connection was reset (or timed out: TCP_USER_TIMEOUT) once, to the first call. Here requests are written while their answers are read. If the write got the report, the next read returned io.EOF, and the end of the connection is the end of a body without a length or chunks. Nothing related the two.

Fix: the dialer's connections return io.EOF only if no write has failed.

--- a/internal/adapter/dialer/dialer.go
+++ b/internal/adapter/dialer/dialer.go
@@ -21,9 +21,22 @@
 	keepAliveProbes                  = 2
 )
 
+// Dialer opens connections. Their reads return io.EOF only if the peer has ended what it sends
+// and no write has failed.
+type Dialer struct{ net.Dialer }
+
 // New returns a dialer that opens a connection within the timeout.
-func New(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAliveConfig(), ControlContext: prepare}
+func New(timeout time.Duration) *Dialer {
+	return &Dialer{net.Dialer{Timeout: timeout, KeepAliveConfig: keepAliveConfig(), ControlContext: prepare}}
+}
+
+// DialContext opens a connection, like net.Dialer.
+func (di *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	nc, err := di.Dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: nc}, nil
 }
 
 // Listen returns a listener at an address (host:port).
--- /dev/null
+++ b/internal/adapter/invoker/invoker_test.go
@@ -0,0 +1,32 @@
+package invoker_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/invoker"
+	"github.com/mulberrylever/mulberrylever/internal/standin/garbler"
+)
+
+// call calls a service with a body of the given size. With a key the call may not be repeated.
+func call(t *testing.T, address string, key ml.IdempotencyKey, bodyBytes int) (ml.ServiceAnswer, error) {
+	sc := ml.ServiceCall{Method: http.MethodPost, Path: "/", Key: key, Body: make([]byte, bodyBytes)}
+	return invoker.New(nil).Call(t.Context(), ml.Endpoint{ID: "e", Address: address}, sc)
+}
+
+// TestAnswerResetDuringUpload guards against a part of an answer that passes for all of it: the
+// service answers a long upload at once, without a length, and resets the connection while
+// the upload is still being written.
+func TestAnswerResetDuringUpload(t *testing.T) {
+	const uploads, uploadBytes = 20, 16 << 20
+	address := (&garbler.Garbler{Answer: func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\npart" }, Resets: true}).Start(t)
+	for _, key := range []ml.IdempotencyKey{"", "key"} {
+		for range uploads {
+			an, err := call(t, address, key, uploadBytes)
+			gomega.NewWithT(t).Expect(err).To(gomega.HaveOccurred(), "%q is taken for the whole answer", an.Body)
+		}
+	}
+}
--- a/internal/adapter/messenger/messenger.go
+++ b/internal/adapter/messenger/messenger.go
@@ -222,7 +222,7 @@
 	defer cancel()
 	di := me.Source.Dialer(dialTimeout)
 	if me.TLS != nil {
-		return (&tls.Dialer{NetDialer: di, Config: me.TLS}).DialContext(ctx, "tcp", address)
+		return (&tls.Dialer{NetDialer: &di.Dialer, Config: me.TLS}).DialContext(ctx, "tcp", address)
 	}
 	return di.DialContext(ctx, "tcp", address)
 }
--- a/internal/adapter/requester/requester.go
+++ b/internal/adapter/requester/requester.go
@@ -24,7 +24,7 @@
 type SourceIP net.IP
 
 // Dialer returns a dialer that connects from the source address.
-func (so SourceIP) Dialer(timeout time.Duration) *net.Dialer {
+func (so SourceIP) Dialer(timeout time.Duration) *dialer.Dialer {
 	di := dialer.New(timeout)
 	if so != nil {
 		di.LocalAddr = &net.TCPAddr{IP: net.IP(so)}
