fix: an answer whose status is none is not an answer

The handler panicked ("invalid WriteHeader code 0"; so with 001, 099 and +20), in the middle of forwarding. An answer with 600 to 999 was passed on as it came. TestStatusOfNoAnswer, red before: "EOF" for 000, status 999 for 999.

Cause: net/http reads any number of three characters as a status, signs too, and nothing here asked whether it is one. All that is decided by a status then took it for something: no failure, so that safe requests were not sent again; "not run", if the head said so; in `serve` a refusal.

Fix: adapter/validator takes 200 to 599 as the statuses of final answers. The exchanger fails a request that gets another one, like one whose answer isn't HTTP: it may have run, so a safe request is sent to another endpoint and the others get 502. Clients of net/http get the same by validator.Transport.

Health checks open connections only; messages between entry VMs have no status.

--- a/internal/adapter/exchanger/conn.go
+++ b/internal/adapter/exchanger/conn.go
@@ -18,6 +18,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/mulberrylever/mulberrylever/internal/adapter/validator"
 	"github.com/mulberrylever/mulberrylever/internal/state/bounder"
 )
 
@@ -158,6 +159,9 @@
 		if rs.StatusCode/100 == 1 {
 			continue
 		}
+		if err := validator.CheckStatus(rs.StatusCode); err != nil {
+			return nil, err
+		}
 		if match(rs.Header) {
 			return rs, nil
 		}
--- a/internal/adapter/invoker/invoker.go
+++ b/internal/adapter/invoker/invoker.go
@@ -13,6 +13,7 @@
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/adapter/requester"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/validator"
 )
 
 // maxAnswerBytes bounds the body of a service's response.
@@ -30,7 +31,7 @@
 	singleUse := requester.NewClient(so, dialTimeout, headerTimeout)
 	// net/http repeats a request with an Idempotency-Key when a reused connection
 	// breaks. On a new connection it never does.
-	singleUse.Transport.(*http.Transport).DisableKeepAlives = true
+	singleUse.Transport.(*validator.Transport).DisableKeepAlives = true
 	return &Invoker{client: requester.NewClient(so, dialTimeout, headerTimeout), singleUse: singleUse}
 }
 
--- a/internal/adapter/invoker/invoker_test.go
+++ b/internal/adapter/invoker/invoker_test.go
@@ -30,3 +30,12 @@
 		}
 	}
 }
+
+// TestStatusOfNoAnswer guards against an answer of a service in trouble whose status is none.
+func TestStatusOfNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099 OK", "600 OK", "101 Switching Protocols"} {
+		address := (&garbler.Garbler{Answer: func(*http.Request) string { return "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nok" }}).Start(t)
+		an, err := call(t, address, "", 1)
+		gomega.NewWithT(t).Expect(err).To(gomega.HaveOccurred(), "%d", an.Status)
+	}
+}
--- a/internal/adapter/requester/requester.go
+++ b/internal/adapter/requester/requester.go
@@ -15,6 +15,7 @@
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/adapter/dialer"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/validator"
 )
 
 // maxAnswerBytes bounds the body of a response.
@@ -37,11 +38,11 @@
 func NewClient(so SourceIP, dialTimeout, headerTimeout time.Duration) *http.Client {
 	di := so.Dialer(dialTimeout)
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: &validator.Transport{Transport: http.Transport{
 			DialContext: di.DialContext, ResponseHeaderTimeout: headerTimeout,
 			MaxIdleConns: 4096, MaxIdleConnsPerHost: 256, IdleConnTimeout: 90 * time.Second,
 			DisableCompression: true,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- /dev/null
+++ b/internal/adapter/requester/requester_test.go
@@ -0,0 +1,32 @@
+package requester_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/requester"
+	"github.com/mulberrylever/mulberrylever/internal/standin/garbler"
+)
+
+// call makes a call to a peer that answers with a text.
+func call(t *testing.T, text string) error {
+	address := (&garbler.Garbler{Answer: func(*http.Request) string { return text }}).Start(t)
+	re := requester.Requester{Client: requester.NewClient(nil, time.Second, time.Second), Step: "call"}
+	return re.Do(t.Context(), http.MethodPost, address, "/", struct{}{}, &struct{}{})
+}
+
+// TestStatusOfNoAnswer guards against an answer of a peer in trouble whose status is none, and
+// which is taken for a refusal: the peer may have acted.
+func TestStatusOfNoAnswer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(call(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")).To(gomega.Succeed())
+	for _, status := range []string{"000", "099 OK", "600 OK", "101 Switching Protocols"} {
+		err := call(t, "HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\n{}")
+		g.Expect(err).To(gomega.HaveOccurred(), status)
+		g.Expect(ml.AsError("", err).NotRun).To(gomega.BeFalse(), status)
+	}
+}
