--- a/internal/adapter/requester/requester.go
+++ b/internal/adapter/requester/requester.go
@@ -78,12 +78,9 @@
 	if rs.StatusCode/100 != 2 {
 		return re.wrapStatus(address, rs)
 	}
-	if out == nil {
-		_, _ = io.Copy(io.Discard, io.LimitReader(rs.Body, maxAnswerBytes))
-		return nil
-	}
-	data, err := io.ReadAll(io.LimitReader(rs.Body, maxAnswerBytes)) // to its end, so that the connection can be reused
-	if err == nil {
+	// To its end, which tells that the answer is whole, and so that the connection can be reused.
+	data, err := io.ReadAll(io.LimitReader(rs.Body, maxAnswerBytes))
+	if err == nil && out != nil {
 		err = json.Unmarshal(data, out)
 	}
 	if err != nil {
--- a/internal/adapter/requester/requester_test.go
+++ b/internal/adapter/requester/requester_test.go
@@ -12,20 +12,29 @@
 	"github.com/mulberrylever/mulberrylever/internal/standin/garbler"
 )
 
-// call makes a call to a peer that answers with a text.
-func call(t *testing.T, text string) error {
+// call makes a call to a peer that answers with a text, and decodes its body into out.
+func call(t *testing.T, text string, out any) error {
 	address := (&garbler.Garbler{Answer: func(*http.Request) string { return text }}).Start(t)
 	re := requester.Requester{Client: requester.NewClient(nil, time.Second, time.Second), Step: "call"}
-	return re.Do(t.Context(), http.MethodPost, address, "/", struct{}{}, &struct{}{})
+	return re.Do(t.Context(), http.MethodPost, address, "/", struct{}{}, out)
+}
+
+// TestAnswerCutOff guards against an answer that is taken for whole although its body is cut off,
+// also when nothing is asked of the body.
+func TestAnswerCutOff(t *testing.T) {
+	for _, out := range []any{nil, &struct{}{}} {
+		err := call(t, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}", out)
+		gomega.NewWithT(t).Expect(err).To(gomega.HaveOccurred(), "%v", out)
+	}
 }
 
 // TestStatusOfNoAnswer guards against an answer of a peer in trouble whose status is none, and
 // which is taken for a refusal: the peer may have acted.
 func TestStatusOfNoAnswer(t *testing.T) {
 	g := gomega.NewWithT(t)
-	g.Expect(call(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")).To(gomega.Succeed())
+	g.Expect(call(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", &struct{}{})).To(gomega.Succeed())
 	for _, status := range []string{"000", "099 OK", "600 OK", "101 Switching Protocols"} {
-		err := call(t, "HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\n{}")
+		err := call(t, "HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\n{}", &struct{}{})
 		g.Expect(err).To(gomega.HaveOccurred(), status)
 		g.Expect(ml.AsError("", err).NotRun).To(gomega.BeFalse(), status)
 	}
