fix: an answer with a malformed field name is not an answer

With "Content-Length : 15" or "Transfer-Encoding : chunked" its body was not the engine's: "f\r\nid: 1..." with the chunk's sizes in a stream. With "X Odd: 1" the line was dropped and the rest passed on. A line that began with a blank became a part of the field before it: the seal that the caller got, or the id by which an answer is known. Names with control bytes and empty ones were rejected before, in heads and in trailers; these tests are kept.

Cause: net/http accepts a name with blanks, under a key that nobody looks up, and joins a line that begins with a blank to the one before, as was once allowed. Here nobody looked at names.

Fix: the exchanger checks the lines of each head as they were received, interim heads and those of answers to other requests too: a line is a well-formed name, then a colon. What it read of a head is kept for that until the check, and counted. At the end of a body the trailer's names are checked for all. Such an answer fails like one that isn't HTTP: 502, or another endpoint for what may be repeated; if its beginning was passed on, it is broken off.

New with this code: requester's TestInterimAnswersWithoutEnd. Health checks open connections only; messages between entry VMs have no fields.

--- a/internal/adapter/exchanger/conn.go
+++ b/internal/adapter/exchanger/conn.go
@@ -31,8 +31,8 @@
 	maxHeadBytes = 128 << 10
 	// maxHeadLines bounds their lines: each takes much more memory than its bytes.
 	maxHeadLines = 512
-	// headCopies is how often the bytes of a head are in memory while it is decoded.
-	headCopies = 2
+	// headCopies is how often the bytes of a head are in memory while it is decoded and checked.
+	headCopies = 3
 	// maxStrayAnswers bounds the answers to other requests that are skipped before
 	// the answer to one request.
 	maxStrayAnswers = 2
@@ -53,6 +53,7 @@
 	readsHead    bool             // Read is limited to headLeft bytes
 	headLeft     int              // bytes that may still be read as heads
 	headLines    int              // lines that were read as heads, and maybe as the body after them
+	head         []byte           // what was received of the head that is read, and maybe of the body after it
 	message      *bounder.Message // what the heads that were read for the current request hold
 	expiresAt    time.Time        // no request is sent on it after this time
 	carried      []uint64         // hashes of the ids of the requests that it has carried
@@ -86,6 +87,7 @@
 		return 0, errHeadTooLong
 	}
 	n, err := co.Conn.Read(part[:min(len(part), co.headLeft)])
+	co.head = append(co.head, part[:n]...)
 	co.headLeft -= n
 	co.headLines += bytes.Count(part[:n], []byte("\n"))
 	if full := co.message.Grow(headCopies * n); full != nil {
@@ -94,11 +96,20 @@
 	return n, err
 }
 
-// readHead reads the next head of an answer.
+// readHead reads the next head of an answer, and checks the names of its fields.
 func (co *conn) readHead(rq *http.Request) (*http.Response, error) {
-	co.readsHead = true
-	defer func() { co.readsHead = false }()
-	return http.ReadResponse(co.reader, rq)
+	received, err := co.reader.Peek(co.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	co.head, co.readsHead = bytes.Clone(received), true
+	defer func() { co.head, co.readsHead = nil, false }()
+	rs, err := http.ReadResponse(co.reader, rq)
+	if err != nil {
+		return nil, err
+	}
+	head := co.head[:len(co.head)-co.reader.Buffered()]
+	return rs, validator.CheckHead(head)
 }
 
 // Write implements io.Writer. It counts the bytes that the network has accepted.
@@ -168,7 +179,7 @@
 		if stray++; stray > maxStrayAnswers || rs.Close {
 			return nil, fmt.Errorf("answer %d belongs to another request", rs.StatusCode)
 		}
-		if _, err := io.CopyN(io.Discard, rs.Body, maxStrayBodyBytes); !errors.Is(err, io.EOF) {
+		if _, err := io.CopyN(io.Discard, &validator.Body{ReadCloser: rs.Body, Answer: rs}, maxStrayBodyBytes); !errors.Is(err, io.EOF) {
 			return nil, fmt.Errorf("skip an answer to another request: %w", err)
 		}
 	}
--- a/internal/adapter/exchanger/exchanger.go
+++ b/internal/adapter/exchanger/exchanger.go
@@ -19,6 +19,7 @@
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/adapter/dialer"
+	"github.com/mulberrylever/mulberrylever/internal/adapter/validator"
 	"github.com/mulberrylever/mulberrylever/internal/state/bounder"
 )
 
@@ -104,7 +105,7 @@
 }
 
 func (ex *Exchanger) newAnswer(ta Target, co *conn, rs *http.Response, stop func() bool, writeDone <-chan error) *ml.Answer {
-	bo := &body{Reader: rs.Body, reachedEnd: rs.ContentLength == 0}
+	bo := &body{Reader: &validator.Body{ReadCloser: rs.Body, Answer: rs}, reachedEnd: rs.ContentLength == 0}
 	once := sync.Once{}
 	return &ml.Answer{
 		Status: rs.StatusCode, Header: rs.Header, Length: rs.ContentLength, Body: bo,
--- a/internal/adapter/requester/requester_test.go
+++ b/internal/adapter/requester/requester_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,3 +40,27 @@
 		g.Expect(ml.AsError("", err).NotRun).To(gomega.BeFalse(), status)
 	}
 }
+
+// TestMalformedFieldName guards against an answer in which the name of a field is malformed: in its
+// head, in that of an interim answer, or in its trailer.
+func TestMalformedFieldName(t *testing.T) {
+	const sound, chunk = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"
+	for text, isSound := range map[string]bool{
+		"HTTP/1.1 103 Early Hints\r\nX-Odd: 1\r\n\r\n" + sound:          true,
+		"HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + sound:          false,
+		chunk + "X-Odd: 1\r\n\r\n":                                      true,
+		chunk + "X Odd: 1\r\n\r\n":                                      false,
+		"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\n{}":    false,
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}":               false,
+		"HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 2\r\n\r\n{}": false,
+	} {
+		gomega.NewWithT(t).Expect(call(t, text, &struct{}{}) == nil).To(gomega.Equal(isSound), "%q", text)
+	}
+}
+
+// TestInterimAnswersWithoutEnd guards against a peer that sends interim answers and no other.
+func TestInterimAnswersWithoutEnd(t *testing.T) {
+	const many = 10_000
+	err := call(t, strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", many)+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", &struct{}{})
+	gomega.NewWithT(t).Expect(err).To(gomega.MatchError(gomega.ContainSubstring("interim")))
+}
