--- a/internal/adapter/validator/transport.go
+++ b/internal/adapter/validator/transport.go
@@ -12,7 +12,7 @@
 // those who look at them.
 const maxInterimAnswers = 16
 
-// errInterimAnswers means that a server sent maxInterimAnswers and no answer.
+// errInterimAnswers means that a server sent more than maxInterimAnswers before an answer.
 var errInterimAnswers = errors.New("too many interim answers")
 
 // Transport is an http.Transport that returns an error in place of an answer that is none. The
--- a/internal/standin/garbler/garbler.go
+++ b/internal/standin/garbler/garbler.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"testing"
 )
 
 // Garbler answers each request with a text, and closes the connection.
@@ -19,8 +18,13 @@
 	Resets bool
 }
 
+// Test is a running test.
+type Test interface {
+	Cleanup(stop func()) // calls stop when the test has ended
+}
+
 // Start serves the garbler's answers at a loopback address (host:port) until the test ends.
-func (ga *Garbler) Start(t *testing.T) string {
+func (ga *Garbler) Start(t Test) string {
 	server := httptest.NewServer(ga)
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
