fix: an answer that ended in good order is whole, also if a reset follows

Cause: took every failed write for the end of the answer too. The kernel tells the two apart: a connection that is reset after the peer's orderly end gives the write EPIPE, one that is reset without it ECONNRESET (or ETIMEDOUT), and only then does the failure take the place of the end.

Fix: EPIPE doesn't count. A write after a reported failure gets EPIPE too; it no longer hides that failure.

--- a/internal/adapter/dialer/dialer.go
+++ b/internal/adapter/dialer/dialer.go
@@ -21,8 +21,7 @@
 	keepAliveProbes                  = 2
 )
 
-// Dialer opens connections. Their reads return io.EOF only if the peer has ended what it sends
-// and no write has failed.
+// Dialer opens connections whose reads return io.EOF only if the peer has ended what it sends.
 type Dialer struct{ net.Dialer }
 
 // New returns a dialer that opens a connection within the timeout.
--- a/internal/adapter/dialer/dialer_test.go
+++ b/internal/adapter/dialer/dialer_test.go
@@ -93,3 +93,18 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(string(text)).To(gomega.Equal(answerPart))
 }
+
+// TestOrderlyEndBeforeReset checks that what a peer has sent counts as whole if it has ended that in
+// good order, although it resets the connection afterwards since it reads no more.
+func TestOrderlyEndBeforeReset(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nc, peer := connect(t)
+	writeDone := make(chan error, 1)
+	go writeEndlessly(nc, writeDone)
+	_, err := io.WriteString(peer, answerPart)
+	g.Expect(errors.Join(err, peer.CloseWrite(), peer.SetLinger(0), peer.Close())).To(gomega.Succeed())
+	failure := <-writeDone
+	text, err := io.ReadAll(nc)
+	g.Expect(err).NotTo(gomega.HaveOccurred(), "the write ended with %v", failure)
+	g.Expect(string(text)).To(gomega.Equal(answerPart))
+}
--- a/internal/adapter/invoker/invoker_test.go
+++ b/internal/adapter/invoker/invoker_test.go
@@ -22,7 +22,7 @@
 // the upload is still being written.
 func TestAnswerResetDuringUpload(t *testing.T) {
 	const uploads, uploadBytes = 20, 16 << 20
-	address := (&garbler.Garbler{Answer: func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\npart" }, Resets: true}).Start(t)
+	address := (&garbler.Garbler{Answer: func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\npart" }, Ending: garbler.Resets}).Start(t)
 	for _, key := range []ml.IdempotencyKey{"", "key"} {
 		for range uploads {
 			an, err := call(t, address, key, uploadBytes)
@@ -31,6 +31,19 @@
 	}
 }
 
+// TestAnswerEndedDuringUpload checks that an answer without a length arrives whole if the service
+// ends it in good order before it has read a long upload.
+func TestAnswerEndedDuringUpload(t *testing.T) {
+	const uploads, uploadBytes = 20, 16 << 20
+	address := (&garbler.Garbler{Answer: func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\nwhole" }, Ending: garbler.EndsAndReads}).Start(t)
+	for range uploads {
+		g := gomega.NewWithT(t)
+		an, err := call(t, address, "", uploadBytes)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(string(an.Body)).To(gomega.Equal("whole"))
+	}
+}
+
 // TestStatusOfNoAnswer guards against an answer of a service in trouble whose status is none.
 func TestStatusOfNoAnswer(t *testing.T) {
 	for _, status := range []string{"000", "099 OK", "600 OK", "101 Switching Protocols"} {
--- a/internal/standin/garbler/garbler.go
+++ b/internal/standin/garbler/garbler.go
@@ -10,12 +10,21 @@
 	"strings"
 )
 
-// Garbler answers each request with a text, and closes the connection.
+// Ending is how a connection ends.
+type Ending int
+
+// The ways in which connections end.
+const (
+	Closes        Ending = iota // it is closed after the request was read and answered
+	Resets                      // it is reset after the answer, while the request's body may still be written
+	EndsAndReads                // the answer ends in good order before the body is read, which is read then
+	EndsAndResets               // the answer ends in good order before the body is read; then the connection is reset
+)
+
+// Garbler answers each request with a text, and ends the connection.
 type Garbler struct {
 	Answer func(*http.Request) string
-	// Resets has it answer before it reads the body, and reset the connection while the body
-	// may still be written.
-	Resets bool
+	Ending Ending
 }
 
 // Test is a running test.
@@ -32,7 +41,7 @@
 
 // ServeHTTP implements http.Handler.
 func (ga *Garbler) ServeHTTP(wr http.ResponseWriter, hr *http.Request) {
-	if !ga.Resets {
+	if ga.Ending == Closes {
 		_, _ = io.Copy(io.Discard, hr.Body) // fails only if the sender has left
 	}
 	nc, _, err := http.NewResponseController(wr).Hijack()
@@ -41,7 +50,19 @@
 	}
 	defer nc.Close()
 	_, _ = io.WriteString(nc, ga.Answer(hr)) // fails only if the sender has left
-	if ga.Resets {
-		_ = nc.(*net.TCPConn).SetLinger(0) // fails only if the sender has left
+	ga.end(nc.(*net.TCPConn))
+}
+
+// end ends a connection on which the answer was sent, up to its closing. What it calls fails only
+// if the sender has left.
+func (ga *Garbler) end(nc *net.TCPConn) {
+	if ga.Ending == EndsAndReads || ga.Ending == EndsAndResets {
+		_ = nc.CloseWrite()
+	}
+	if ga.Ending == EndsAndReads {
+		_, _ = io.Copy(io.Discard, nc)
+	}
+	if ga.Ending == Resets || ga.Ending == EndsAndResets {
+		_ = nc.SetLinger(0)
 	}
 }
