--- a/internal/adapter/exchanger/exchanger_test.go
+++ b/internal/adapter/exchanger/exchanger_test.go
@@ -316,3 +316,53 @@
 		}
 	}
 }
+
+// TestBrokenAnswerToAnotherRequest guards against a broken answer that is skipped since it belongs
+// to another request: where it ends, and so where the next one begins, is unknown.
+func TestBrokenAnswerToAnotherRequest(t *testing.T) {
+	const other = "HTTP/1.1 200 OK\r\nId: other\r\n"
+	for _, tc := range []struct {
+		name, text string
+		isSound    bool
+	}{
+		{"sound", stray, true},
+		{"sound trailer", other + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Odd: 1\r\n\r\n", true},
+		{"status", "HTTP/1.1 000\r\nId: other\r\nContent-Length: 0\r\n\r\n", false},
+		{"name in the head", other + "X Odd: 1\r\nContent-Length: 0\r\n\r\n", false},
+		{"line with a blank first", other + " X-Odd: 1\r\nContent-Length: 0\r\n\r\n", false},
+		{"name in the trailer", other + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX Odd: 1\r\n\r\n", false},
+		{"no length", other + "\r\n", false},
+		{"name in an interim head", "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			body, err := do(&exchanger.Exchanger{}, newPeer(t, tc.text+good).target(), "/x")
+			g := gomega.NewWithT(t)
+			g.Expect(err == nil).To(gomega.Equal(tc.isSound), "%q, %v", body, err)
+		})
+	}
+}
+
+// TestUnaskedAnswerToConnect checks that a health check, which only opens a connection, takes no
+// answer, and leaves none on that connection for the next request.
+func TestUnaskedAnswerToConnect(t *testing.T) {
+	g := gomega.NewWithT(t)
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer li.Close()
+	ex, ta := &exchanger.Exchanger{}, exchanger.Target{Endpoint: "e", Incarnation: "1", Address: li.Addr().String()}
+	g.Expect(ex.Connect(t.Context(), ta)).To(gomega.Equal(ml.ConnectOpened))
+	checked, err := li.Accept()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer checked.Close()
+	_, err = io.WriteString(checked, good)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	go func() {
+		if nc, err := li.Accept(); err == nil {
+			_, _ = io.WriteString(nc, strings.Replace(good, "ok", "no", 1))
+			_, _ = io.Copy(io.Discard, nc)
+		}
+	}()
+	body, err := do(ex, ta, "/x")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.Equal("no"), "on a new connection")
+}
