fix: a read that has not reached its topic's end confirms nothing

What callers saw: for the 11 s for which the entry VMs that read the store were cut off from it, the others served a key that had been taken away and ran requests at the service from which a route had been moved, though the store answered them.

Cause: an answer of the store holds 1,024 KB at the most. Follower.step and Renew took each for all that the topic has, whatever end it states, and Catalog.RecordRead let any caller confirm any time. An entry VM that learns from others reads from where it read last, at its start; after 12 MB of configurations its answer held four of fifty, and it said that it knew the newest. Others that knew the same believed it.

Now attester.Read and attester.Listing say how far they reach, and only they make an attester.Proof. The catalog confirms by ApplyRead, ApplyListing and Confirm alone, each of which applies what it confirms: a read with its topic's end, that continues what is known and follows a listing; a listing with its last page; the word of others where this entry VM has listed the topic and knows the same. By the same types ListedAfter, DropOutdated (engines, evacuations) and a first listing no longer go by a part.

Deletions that a later listing shows are passed on, as those that a read shows always were.

--- a/internal/duty/sharer/sharer_test.go
+++ b/internal/duty/sharer/sharer_test.go
@@ -18,6 +18,7 @@
 	"github.com/mulberrylever/mulberrylever/internal/decision/detector"
 	"github.com/mulberrylever/mulberrylever/internal/decision/divider"
 	"github.com/mulberrylever/mulberrylever/internal/duty/sharer"
+	"github.com/mulberrylever/mulberrylever/internal/state/attester"
 	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
 	"github.com/mulberrylever/mulberrylever/internal/state/tracker"
 )
@@ -298,12 +299,14 @@
 	before := []ml.KeyRecord{{Topic: topic, Key: "gone", Value: []byte("x"), Offset: 4}}
 	late, started, old := fl.nodes[0], fl.nodes[1], fl.nodes[2]
 	for _, sh := range []*sharer.Sharer{late, old} {
-		sh.Catalog.MergeFromStore(now, topic, before, ml.Position{Offset: 5})
-		sh.Catalog.DeleteUnlisted(now, topic, map[string]bool{"gone": true}, ml.Position{Offset: 5})
+		li := attester.NewListing(topic, ml.Position{Offset: 5}, now)
+		li.AddPage(before, true)
+		sh.Catalog.ApplyListing(now, li)
 	}
-	old.Catalog.MergeFromStore(now, topic, []ml.KeyRecord{{Topic: topic, Key: "gone", Offset: 5}}, ml.Position{Offset: 7})
-	started.Catalog.MergeFromStore(now, topic, nil, ml.Position{Offset: 7}) // has listed what was left
-	started.Catalog.DeleteUnlisted(now, topic, map[string]bool{}, ml.Position{Offset: 7})
+	old.Catalog.ApplyRead(now, &attester.Read{Topic: topic, Records: []ml.KeyRecord{{Topic: topic, Key: "gone", Offset: 5}}, From: ml.Position{Offset: 5}, Next: ml.Position{Offset: 7}, End: 7, Current: now})
+	left := attester.NewListing(topic, ml.Position{Offset: 7}, now)
+	left.AddPage(nil, true)
+	started.Catalog.ApplyListing(now, left)
 	digest := func(from *sharer.Sharer) {
 		late.OnShare(ml.ShareMessage{From: from.Self, Address: from.Address, KnownAddresses: []string{from.Address}, NextOffsets: map[ml.TopicName]ml.Offset{topic: from.Catalog.NextPositions()[topic].Offset}})
 	}
--- a/internal/duty/verifier/verifier_test.go
+++ b/internal/duty/verifier/verifier_test.go
@@ -15,6 +15,7 @@
 	"github.com/mulberrylever/mulberrylever/internal/decision/attributor"
 	"github.com/mulberrylever/mulberrylever/internal/duty/pacer"
 	"github.com/mulberrylever/mulberrylever/internal/duty/verifier"
+	"github.com/mulberrylever/mulberrylever/internal/state/attester"
 	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
 )
 
@@ -72,7 +73,9 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				log := slog.New(slog.NewTextHandler(io.Discard, nil))
 				catalog := &cataloger.Cataloger{Decoder: decoder{}, Log: log}
-				catalog.Merge(time.Now(), []ml.KeyRecord{{Topic: "t", Key: "e", Value: []byte("x"), Offset: 1}}, nil)
+				li := attester.NewListing("t", ml.Position{Offset: 2}, time.Now())
+				li.AddPage([]ml.KeyRecord{{Topic: "t", Key: "e", Value: []byte("x"), Offset: 1}}, true)
+				catalog.ApplyListing(time.Now(), li)
 				shared := &atomic.Int64{}
 				ve := verifier.New()
 				ve.Exchanger, ve.Catalog, ve.Attributor, ve.Log = dialing{result: ca.result, dials: &atomic.Int64{}}, catalog, &attributor.Attributor{}, log
@@ -81,7 +84,7 @@
 				go func() {
 					const interval = 100 * time.Millisecond
 					for begin := time.Now(); ctx.Err() == nil && (ca.readUntil == 0 || time.Since(begin) < ca.readUntil); pacer.Sleep(ctx, interval) {
-						catalog.RecordRead(time.Now(), time.Now(), "t")
+						catalog.ApplyRead(time.Now(), &attester.Read{Topic: "t", From: ml.Position{Offset: 2}, Next: ml.Position{Offset: 2}, End: 2, Current: time.Now()})
 					}
 				}()
 				crash := ml.SharedCrash{Endpoint: "e", Parts: []ml.PartID{"p"}, AgeMs: ca.age.Milliseconds()}
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -11,6 +11,7 @@
 
 	ml "github.com/mulberrylever/mulberrylever"
 	"github.com/mulberrylever/mulberrylever/internal/decision/matcher"
+	"github.com/mulberrylever/mulberrylever/internal/state/attester"
 )
 
 // Decoder decodes records in the platform's formats.
@@ -75,8 +76,8 @@
 	domainsOut      map[ml.DomainID]bool
 	endpoints       map[ml.EndpointID]Listing
 	storeFailedAt   time.Time                  // when the store last failed to answer
-	readAt          map[ml.TopicName]time.Time // when the store last answered a read of a topic
-	confirmedAt     map[ml.TopicName]time.Time // up to which all that the store had acknowledged is applied
+	readAt          map[ml.TopicName]time.Time // up to which own reads show all that the store had acknowledged
+	confirmedAt     map[ml.TopicName]time.Time // that, by own reads or the word of others
 	reusedAddresses map[ml.EndpointID]ml.Incarnation
 	departures      map[ml.Departure]time.Time // when they became known
 	digests         map[ml.TopicName]ml.CatalogDigest
@@ -95,34 +96,54 @@
 	return changed
 }
 
-// MergeFromStore applies records read from the store itself. The topic has been
-// read up to the position end. Records that change the catalog are passed to
-// OnStoreRecords.
-func (ca *Cataloger) MergeFromStore(now time.Time, to ml.TopicName, records []ml.KeyRecord, end ml.Position) {
-	changed := ca.mergeAll(now, records, fromStore)
+// ApplyRead applies what a read of the store itself has brought, as far as the read went. Only a
+// read that reached its topic's end confirms that all is known. Records that change the catalog
+// are passed to OnStoreRecords.
+func (ca *Cataloger) ApplyRead(now time.Time, rd *attester.Read) {
+	changed := ca.mergeAll(now, rd.Records, fromStore)
 	ca.mu.Lock()
-	raise(&ca.read, map[ml.TopicName]ml.Position{to: end})
+	if ca.isContinuedBy(rd) {
+		raise(&ca.read, map[ml.TopicName]ml.Position{rd.Topic: rd.Next})
+		ca.confirm(rd.Proof())
+	}
 	ca.mu.Unlock()
-	if len(changed) > 0 && ca.OnStoreRecords != nil {
-		ca.OnStoreRecords(changed)
+	ca.publish(changed)
+}
+
+// isContinuedBy reports whether all is known that came before a read. The caller must hold ca.mu.
+func (ca *Cataloger) isContinuedBy(rd *attester.Read) bool {
+	listed, known := ca.listedFrom[rd.Topic]
+	return known && listed.Era == rd.From.Era && rd.From.Compare(ca.read[rd.Topic]) <= 0
+}
+
+// ApplyListing applies a listing of a topic. If it is whole, keys that are missing in it are
+// marked as deleted, and it confirms that all is known. Changes are passed to OnStoreRecords, but
+// for those of the first listing of the topic: they are new to none of the other entry VMs.
+func (ca *Cataloger) ApplyListing(now time.Time, li *attester.Listing) {
+	isFirst := !ca.IsTopicListed(li.Topic())
+	changed := ca.mergeAll(now, li.Records(), fromStore)
+	if li.IsWhole() {
+		changed = append(changed, ca.deleteUnlisted(now, li)...)
+	}
+	if !isFirst {
+		ca.publish(changed)
 	}
 }
 
-// MergeFirstListing applies the first listing of a topic, up to the position end. Nothing in it
-// is new to the other entry VMs, so that it is not passed to OnStoreRecords.
-func (ca *Cataloger) MergeFirstListing(now time.Time, to ml.TopicName, records []ml.KeyRecord, end ml.Position) {
-	ca.mergeAll(now, records, fromStore)
-	ca.mu.Lock()
-	defer ca.mu.Unlock()
-	raise(&ca.read, map[ml.TopicName]ml.Position{to: end})
+// publish passes records that change the catalog to OnStoreRecords.
+func (ca *Cataloger) publish(changed []ml.KeyRecord) {
+	if len(changed) > 0 && ca.OnStoreRecords != nil {
+		ca.OnStoreRecords(changed)
+	}
 }
 
 // source is where a record came from.
 type source string
 
 const (
-	fromStore source = "store"
-	fromPeer  source = "peer"
+	fromStore   source = "store"
+	fromPeer    source = "peer"
+	fromListing source = "listing" // a deletion that a listing shows
 )
 
 // raise raises positions to others that are later.
@@ -316,18 +337,22 @@
 	return out
 }
 
-// DeleteUnlisted marks keys as deleted that are missing in a complete listing of
-// a topic. Keys with records at or after the listing's end stay, and for a time those of an
-// earlier era.
-func (ca *Cataloger) DeleteUnlisted(now time.Time, to ml.TopicName, listed map[string]bool, end ml.Position) {
+// deleteUnlisted marks keys as deleted that are missing in a whole listing, and confirms the topic.
+// Keys with records at or after the listing's end stay, and for a time those of an earlier era. It
+// returns the deletions that change the catalog.
+func (ca *Cataloger) deleteUnlisted(now time.Time, li *attester.Listing) []ml.KeyRecord {
+	listed := make(map[string]bool, len(li.Records()))
+	for _, re := range li.Records() {
+		listed[re.Key] = true
+	}
 	ca.mu.Lock()
-	ca.recordListing(now, to, end)
+	ca.recordListing(now, li.Topic(), li.End())
 	deletions, lost := []ml.KeyRecord{}, []ml.PartID{}
-	for key, re := range ca.records[to] {
+	for key, re := range ca.records[li.Topic()] {
 		switch {
-		case listed[key] || re.Value == nil || re.Position().Compare(end) >= 0:
-		case re.Era == end.Era:
-			deletions = append(deletions, deletion(to, key, end))
+		case listed[key] || re.Value == nil || re.Position().Compare(li.End()) >= 0:
+		case re.Era == li.End().Era:
+			deletions = append(deletions, deletion(li.Topic(), key, li.End()))
 		default:
 			if part, _, found := ca.Decoder.Part(re); found {
 				lost = append(lost, part)
@@ -335,12 +360,17 @@
 		}
 	}
 	ca.mu.Unlock()
-	ca.Merge(now, deletions, nil)
+	changed := ca.mergeAll(now, deletions, fromListing)
+	ca.mu.Lock()
+	raise(&ca.read, map[ml.TopicName]ml.Position{li.Topic(): li.End()})
+	ca.confirm(li.Proof())
+	ca.mu.Unlock()
 	for _, part := range lost {
 		if ca.OnPartLost != nil {
 			ca.OnPartLost(part)
 		}
 	}
+	return changed
 }
 
 // deletion returns a record of the deletion of a key before the end of a listing.
--- a/internal/state/cataloger/cataloger_test.go
+++ b/internal/state/cataloger/cataloger_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/state/attester"
 	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
 )
 
@@ -61,6 +62,18 @@
 	return re
 }
 
+// applyListing has a catalog list a topic that ended at a position before, and holds some records.
+func applyListing(at time.Time, ca *cataloger.Cataloger, end ml.Position, records ...ml.KeyRecord) {
+	li := attester.NewListing("t", end, at)
+	li.AddPage(records, true)
+	ca.ApplyListing(at, li)
+}
+
+// readFrom returns a read of a topic that has reached its end.
+func readFrom(at time.Time, from, next ml.Offset, records ...ml.KeyRecord) *attester.Read {
+	return &attester.Read{Topic: "t", Records: records, From: ml.Position{Offset: from}, Next: ml.Position{Offset: next}, End: next, Current: at}
+}
+
 // TestMergeInAnyOrder checks that records that arrive in any order, repeated or
 // late, leave the newest state, and that the configuration's version never
 // decreases.
@@ -128,7 +141,7 @@
 	g := gomega.NewWithT(t)
 	ca := newCataloger()
 	ca.Merge(start, []ml.KeyRecord{record("e", "live@d", 1), record("f", "live@d", 9)}, nil)
-	ca.DeleteUnlisted(start, "t", map[string]bool{}, ml.Position{Offset: 5})
+	applyListing(start, ca, ml.Position{Offset: 5})
 	usable := ca.Usable(start, "s")
 	g.Expect(usable).To(gomega.HaveLen(1))
 	g.Expect(usable[0].ID).To(gomega.Equal(ml.EndpointID("f")))
--- a/internal/state/cataloger/confirmation.go
+++ b/internal/state/cataloger/confirmation.go
@@ -4,33 +4,40 @@
 	"time"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/state/attester"
 )
 
-// RecordRead records that the store has answered a read of a topic, and that all is applied
-// that it had acknowledged by confirmedAt.
-func (ca *Cataloger) RecordRead(now, confirmedAt time.Time, to ml.TopicName) {
-	ca.mu.Lock()
-	defer ca.mu.Unlock()
-	if ca.readAt == nil {
-		ca.readAt, ca.confirmedAt = make(map[ml.TopicName]time.Time), make(map[ml.TopicName]time.Time)
+// confirm records what a read or a listing proves, which has been applied. The caller must hold
+// ca.mu.
+func (ca *Cataloger) confirm(pr attester.Proof) {
+	if pr.Topic() == "" {
+		return
+	}
+	raiseTime(&ca.readAt, pr.Topic(), pr.At())
+	raiseTime(&ca.confirmedAt, pr.Topic(), pr.At())
+}
+
+// raiseTime raises a topic's time to one that is later.
+func raiseTime(times *map[ml.TopicName]time.Time, to ml.TopicName, at time.Time) {
+	if *times == nil {
+		*times = make(map[ml.TopicName]time.Time)
 	}
-	ca.readAt[to] = now
-	if confirmedAt.After(ca.confirmedAt[to]) {
-		ca.confirmedAt[to] = confirmedAt
+	if at.After((*times)[to]) {
+		(*times)[to] = at
 	}
 }
 
-// RecordConfirmation records that all that the store had acknowledged in a topic by a time is
-// applied, as another entry VM has confirmed.
-func (ca *Cataloger) RecordConfirmation(at time.Time, to ml.TopicName) {
+// Confirm records what another entry VM, which was asked at a time, has confirmed of a topic, and
+// reports whether that holds here too: only if this entry VM has listed the topic and knows the
+// same.
+func (ca *Cataloger) Confirm(askedAt time.Time, to ml.TopicName, co ml.Confirmation) bool {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	if ca.confirmedAt == nil {
-		ca.readAt, ca.confirmedAt = make(map[ml.TopicName]time.Time), make(map[ml.TopicName]time.Time)
-	}
-	if at.After(ca.confirmedAt[to]) {
-		ca.confirmedAt[to] = at
+	if _, listed := ca.listedFrom[to]; !listed || co.Digest != ca.digests[to] {
+		return false
 	}
+	raiseTime(&ca.confirmedAt, to, askedAt.Add(-time.Duration(co.AgeMs)*time.Millisecond))
+	return true
 }
 
 // ConfirmedAt returns a time up to which all that the store had acknowledged in a topic is
--- a/internal/state/cataloger/digest_test.go
+++ b/internal/state/cataloger/digest_test.go
@@ -62,9 +62,8 @@
 func TestAdopt(t *testing.T) {
 	g := gomega.NewWithT(t)
 	old, fresh := newCataloger(), newCataloger()
-	old.MergeFromStore(start, "t", []ml.KeyRecord{record("e1", "live@a", 3)}, ml.Position{Offset: 5})
-	old.DeleteUnlisted(start, "t", map[string]bool{"e1": true}, ml.Position{Offset: 5})
-	old.MergeFromStore(start, "t", []ml.KeyRecord{record("e2", "live@a", 6)}, ml.Position{Offset: 9})
+	applyListing(start, old, ml.Position{Offset: 5}, record("e1", "live@a", 3))
+	old.ApplyRead(start, readFrom(start, 5, 9, record("e2", "live@a", 6)))
 	reply := old.RecordsFrom(nil)
 	fresh.Merge(start, reply.Records, reply.Covered(nil))
 	g.Expect(fresh.IsTopicListed("t")).To(gomega.BeFalse())
@@ -73,7 +72,7 @@
 	g.Expect(fresh.ReadPosition("t")).To(gomega.Equal(ml.Position{Offset: 9}))
 	g.Expect(fresh.Digests()).To(gomega.Equal(old.Digests()))
 
-	fresh.MergeFromStore(start, "t", nil, ml.Position{Offset: 20})
+	fresh.ApplyRead(start, readFrom(start, 9, 20))
 	older := old.RecordsFrom(nil)
 	fresh.Adopt(start, &older)
 	g.Expect(fresh.ReadPosition("t")).To(gomega.Equal(ml.Position{Offset: 20}), "what was read here counts")
@@ -85,9 +84,8 @@
 func TestRestartLearnsWhatLeft(t *testing.T) {
 	g := gomega.NewWithT(t)
 	old, restarted := newCataloger(), newCataloger()
-	old.MergeFromStore(start, "t", []ml.KeyRecord{record("config", "1", 0), record("gone", "live@a", 1), record("leaves", "live@a", 2), record("stays", "live@a", 3)}, ml.Position{Offset: 4})
-	old.DeleteUnlisted(start, "t", map[string]bool{"config": true, "gone": true, "leaves": true, "stays": true}, ml.Position{Offset: 4})
-	old.MergeFromStore(start, "t", []ml.KeyRecord{record("gone", "", 4), record("leaves", "leaving@a", 5), record("config", "2", 6)}, ml.Position{Offset: 7})
+	applyListing(start, old, ml.Position{Offset: 4}, record("config", "1", 0), record("gone", "live@a", 1), record("leaves", "live@a", 2), record("stays", "live@a", 3))
+	old.ApplyRead(start, readFrom(start, 4, 7, record("gone", "", 4), record("leaves", "leaving@a", 5), record("config", "2", 6)))
 	old.RecordDeparture(start, ml.Departure{Endpoint: "stays", Incarnation: "1"})
 
 	reply := old.RecordsFrom(nil)
--- a/internal/state/cataloger/era.go
+++ b/internal/state/cataloger/era.go
@@ -140,10 +140,8 @@
 		}
 	}
 	ca.mu.Unlock()
-	changed := ca.Merge(now.Add(-ca.RemovalGrace), deletions, nil) // they had their time
-	if len(changed) > 0 && ca.OnStoreRecords != nil {
-		ca.OnStoreRecords(changed)
-	}
+	changed := ca.mergeAll(now.Add(-ca.RemovalGrace), deletions, fromListing) // they had their time
+	ca.publish(changed)
 }
 
 // isDropped reports whether DropOutdated deletes the key of a record. The caller must hold ca.mu.
--- a/internal/state/cataloger/era_test.go
+++ b/internal/state/cataloger/era_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	ml "github.com/mulberrylever/mulberrylever"
+	"github.com/mulberrylever/mulberrylever/internal/state/attester"
 	"github.com/mulberrylever/mulberrylever/internal/state/cataloger"
 )
 
@@ -60,8 +61,9 @@
 	return ml.Position{Era: ks.era, Offset: ml.Offset(len(ks.records))}
 }
 
-// listing returns the newest record of each key that has a value, and these keys.
-func (ks *keyedStore) listing() ([]ml.KeyRecord, map[string]bool) {
+// list has a catalog list the newest record of each key that has a value at a time, and returns
+// these keys.
+func (ks *keyedStore) list(at time.Time, ca *cataloger.Cataloger) map[string]bool {
 	newest := map[string]ml.KeyRecord{}
 	for _, re := range ks.records {
 		newest[re.Key] = re
@@ -72,7 +74,8 @@
 			out, listed[key] = append(out, re), true
 		}
 	}
-	return out, listed
+	applyListing(at, ca, ks.end(), out...)
+	return listed
 }
 
 // TestEras checks that, whatever the order in which records of several eras arrive from others,
@@ -104,15 +107,13 @@
 		heard := rapid.Permutation(ks.history).Draw(rt, "heard")
 		at := rapid.IntRange(0, len(heard)).Draw(rt, "listed after")
 		ca.Merge(start, heard[:at], nil)
-		records, listed := ks.listing()
-		ca.MergeFromStore(start, "t", records, ks.end())
-		ca.DeleteUnlisted(start, "t", listed, ks.end())
+		listed := ks.list(start, ca)
 		ca.Merge(start, heard[at:], nil)
 		if got := ca.Version(); got != ml.Version(version+1) {
 			rt.Fatalf("version %d is in force, want %d", got, version+1)
 		}
 		later := start.Add(time.Hour)
-		ca.RecordRead(later, later, "t") // nothing was written again
+		ca.ApplyRead(later, &attester.Read{Topic: "t", From: ks.end(), Next: ks.end(), End: ks.end().Offset, Current: later}) // nothing was written again
 		ca.DropOutdated(later)
 		for _, li := range ca.Usable(later, "s") {
 			if !listed[string(li.ID)] {
@@ -133,9 +134,7 @@
 	ks := &keyedStore{era: 2}
 	ks.put("config", "5")
 	ks.put("e1", "live@d#4")
-	records, listed := ks.listing()
-	ca.MergeFirstListing(start, "t", records, ks.end())
-	ca.DeleteUnlisted(start, "t", listed, ks.end())
+	ks.list(start, ca)
 
 	ca.Merge(start, []ml.KeyRecord{record("config", "4", 90), record("e1", "leaving@d#3", 91), record("e2", "live@d#1", 92), record("e1", "", 93)}, nil)
 	g.Expect(ca.Version()).To(gomega.Equal(ml.Version(5)))
@@ -147,9 +146,7 @@
 	other := newCountedCataloger()
 	later := &keyedStore{era: 3}
 	later.put("config", "7")
-	records, listed = later.listing()
-	other.MergeFirstListing(start, "t", records, later.end())
-	other.DeleteUnlisted(start, "t", listed, later.end())
+	later.list(start, other)
 	reply := other.RecordsFrom(ca.NextPositions())
 	g.Expect(reply.Covered(ca.NextPositions())).To(gomega.BeEmpty(), "offsets of different eras can't be compared")
 	ca.Merge(start, reply.Records, reply.Covered(ca.NextPositions()))
@@ -158,7 +155,7 @@
 	g.Expect(ca.ReadPosition("t")).To(gomega.Equal(later.end()))
 	g.Expect(ca.Era()).To(gomega.Equal(ml.Era(3)))
 	earlier := (&keyedStore{era: 2}).end()
-	ca.MergeFromStore(start, "t", nil, earlier)
+	ca.ApplyRead(start, &attester.Read{Topic: "t", From: earlier, Next: earlier, End: earlier.Offset, Current: start})
 	g.Expect(ca.ReadPosition("t")).To(gomega.Equal(later.end()), "an answer that comes late")
 }
 
@@ -171,10 +168,8 @@
 	ks.put("config", "1")
 	ks.put("e1", "live@d#1")
 	ks.put("e2", "live@d#2")
-	records, listed := ks.listing()
 	current := newCountedCataloger()
-	current.MergeFirstListing(start, "t", records, ks.end())
-	current.DeleteUnlisted(start, "t", listed, ks.end())
+	ks.list(start, current)
 
 	ca := newCountedCataloger()
 	earlier := ml.RecordsReply{
@@ -187,7 +182,7 @@
 	ca.Merge(start, reply.Records, reply.Covered(ca.NextPositions()))
 	ca.Adopt(start, &reply)
 	later := start.Add(time.Hour)
-	ca.RecordRead(later, later, "t")
+	ca.ApplyRead(later, &attester.Read{Topic: "t", From: ks.end(), Next: ks.end(), End: ks.end().Offset, Current: later})
 	ca.DropOutdated(later)
 	g.Expect(ca.Usable(later, "s")).To(gomega.HaveLen(2))
 	g.Expect(ca.ReadPosition("t")).To(gomega.Equal(ks.end()))
