--- a/internal/decision/attributor/report.go
+++ b/internal/decision/attributor/report.go
@@ -28,8 +28,9 @@
 	}
 }
 
-// RecordPastCrash records a crash from before this entry VM's start. It does not know of
-// the answers since, so such crashes alone don't block a request.
+// RecordPastCrash records a crash that this entry VM has learned of late, such as one from
+// before its start. It may not know of the answers since, so such crashes alone don't block a
+// request.
 func (at *Attributor) RecordPastCrash(now time.Time, sc ml.SharedCrash) {
 	at.mu.Lock()
 	_, changes := at.addReport(now, sc, false)
