fix: a record that comes late from another entry VM brings nothing back

Now a record of another entry VM from before the position up to which all is known is dropped: it has been replaced or deleted since. Records of another era, or of an earlier release, are compared as before.

Red before: TestLateRecordOfAPeer.

--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -186,7 +186,7 @@
 		ca.records[re.Topic] = keys
 	}
 	old, found := keys[re.Key]
-	if found && !ca.isNewer(old, re) || !found && ca.isUnstated(re) {
+	if found && !ca.isNewer(old, re) || !found && ca.isUnstated(re) || so == fromPeer && ca.isPast(re) {
 		return false
 	}
 	if ca.isUnstated(re) {
@@ -198,6 +198,13 @@
 	return changed
 }
 
+// isPast reports whether a record comes before the position up to which all is known, so that it has
+// been replaced or deleted since if it is not known. The caller must hold ca.mu.
+func (ca *Cataloger) isPast(re ml.KeyRecord) bool {
+	read, listed := ca.read[re.Topic], ca.listedFrom[re.Topic]
+	return re.Era == read.Era && re.Era == listed.Era && re.Offset < read.Offset
+}
+
 func (ca *Cataloger) apply(now time.Time, re ml.KeyRecord, so source) bool {
 	if do, found := ca.Decoder.Domain(re); found {
 		ca.applyDomain(do, re)
--- a/internal/state/cataloger/cataloger_test.go
+++ b/internal/state/cataloger/cataloger_test.go
@@ -147,6 +147,20 @@
 	g.Expect(usable[0].ID).To(gomega.Equal(ml.EndpointID("f")))
 }
 
+// TestLateRecordOfAPeer guards against an endpoint, or a domain out of service, that comes back by a
+// record that another entry VM passes on late: this one has read all that came after it, and knows
+// nothing of it since it was deleted before this one started.
+func TestLateRecordOfAPeer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ca := newCataloger()
+	applyListing(start, ca, ml.Position{Offset: 5}, record("f", "live@a", 4))
+	ca.ApplyRead(start, readFrom(start, 5, 8, record("f", "leaving@a", 6)))
+	g.Expect(ca.Merge(start, []ml.KeyRecord{record("e", "live@a", 1), record("out/a", "y", 2), record("f", "live@a", 5)}, nil)).To(gomega.BeEmpty())
+	g.Expect(ca.Usable(start, "s")).To(gomega.BeEmpty())
+	ca.Merge(start, []ml.KeyRecord{record("e", "live@a", 8)}, nil)
+	g.Expect(ca.Usable(start, "s")).To(gomega.HaveLen(1), "the domain is in service, and the endpoint new")
+}
+
 // TestDeparture checks that an endpoint that has said that it leaves isn't used, whatever its
 // record says, until it starts again, and that this isn't forgotten while it is listed.
 func TestDeparture(t *testing.T) {
