fix: a topic is read from where it was confirmed last

An entry VM that learns from others read the store only when nobody confirmed what it knew, and then from where it had read it last, at its start. When the readers are cut off, all others do so within a fifth of a second, and each asks for all that was written since.

Now a confirmation says up to which position it holds. Whoever knows the same goes on from there: what the other one has read is what it knows itself. Not for topics of endpoints, since digests leave out what heartbeats say (they are listed, as before), and not in another era of the store. The word of one that knows an earlier era doesn't count, and a later era is learned from it. An earlier release neither states nor reads the field.

--- a/exchange.go
+++ b/exchange.go
@@ -364,6 +364,9 @@
 type Confirmation struct {
 	Digest CatalogDigest `json:"digest"` // of all that the store had acknowledged AgeMs ago, or of more
 	AgeMs  int64         `json:"ageMs"`
+	// Next is the position up to which the digest holds all records of the store. Entry VMs of
+	// earlier releases don't say so.
+	Next *Position `json:"next,omitempty"`
 }
 
 // Age returns the time since at by the clock that shows more: the steady clock doesn't count
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -75,6 +75,7 @@
 	configUnread    bool             // the newest configuration can't be decoded, and is not in force
 	domainsOut      map[ml.DomainID]bool
 	endpoints       map[ml.EndpointID]Listing
+	hasEndpoints    map[ml.TopicName]bool      // topics of endpoints, whose heartbeats digests leave out
 	storeFailedAt   time.Time                  // when the store last failed to answer
 	readAt          map[ml.TopicName]time.Time // up to which own reads show all that the store had acknowledged
 	confirmedAt     map[ml.TopicName]time.Time // that, by own reads or the word of others
--- a/internal/state/cataloger/confirmation.go
+++ b/internal/state/cataloger/confirmation.go
@@ -29,13 +29,24 @@
 
 // Confirm records what another entry VM, which was asked at a time, has confirmed of a topic, and
 // reports whether that holds here too: only if this entry VM has listed the topic and knows the
-// same.
+// same, and the other one knows no earlier era of the store. The topic is then read from where the
+// other one has read it, unless the digest leaves out a part of its records.
 func (ca *Cataloger) Confirm(askedAt time.Time, to ml.TopicName, co ml.Confirmation) bool {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	if _, listed := ca.listedFrom[to]; !listed || co.Digest != ca.digests[to] {
+	listed, known := ca.listedFrom[to]
+	if !known || co.Digest != ca.digests[to] {
 		return false
 	}
+	if co.Next != nil {
+		if co.Next.Era < ca.era {
+			return false
+		}
+		ca.observeEra(askedAt, co.Next.Era, fromPeer)
+		if co.Next.Era == listed.Era && !ca.hasEndpoints[to] {
+			raise(&ca.read, map[ml.TopicName]ml.Position{to: *co.Next})
+		}
+	}
 	raiseTime(&ca.confirmedAt, to, askedAt.Add(-time.Duration(co.AgeMs)*time.Millisecond))
 	return true
 }
@@ -54,7 +65,8 @@
 	defer ca.mu.Unlock()
 	out := make(map[ml.TopicName]ml.Confirmation)
 	for to, at := range ca.confirmedAt {
-		out[to] = ml.Confirmation{Digest: ca.digests[to], AgeMs: ml.Age(now, at).Milliseconds() + 1}
+		next := ca.read[to]
+		out[to] = ml.Confirmation{Digest: ca.digests[to], AgeMs: ml.Age(now, at).Milliseconds() + 1, Next: &next}
 	}
 	return out
 }
--- a/internal/state/cataloger/confirmation_test.go
+++ b/internal/state/cataloger/confirmation_test.go
@@ -68,3 +68,33 @@
 	g.Expect(ca.Confirm(start.Add(time.Minute), "t", word())).To(gomega.BeTrue())
 	g.Expect(ca.ConfirmedAt("t")).To(gomega.Equal(start.Add(time.Minute - time.Millisecond)))
 }
+
+// TestReadFromConfirmation checks from where a topic is read once another entry VM has confirmed it:
+// from where that one has read it, but not where the digest leaves out what heartbeats say, or where the
+// other one knows another era of the store.
+func TestReadFromConfirmation(t *testing.T) {
+	listed, later := ml.Position{Era: 2, Offset: 3}, ml.Position{Era: 2, Offset: 9}
+	for name, td := range map[string]struct {
+		records   []ml.KeyRecord
+		next      *ml.Position
+		confirms  bool
+		readsFrom ml.Position
+		era       ml.Era
+	}{
+		"same era":        {next: &later, confirms: true, readsFrom: later, era: 2},
+		"earlier release": {next: nil, confirms: true, readsFrom: listed, era: 2},
+		"earlier era":     {next: &ml.Position{Era: 1, Offset: 9}, readsFrom: listed, era: 2},
+		"later era":       {next: &ml.Position{Era: 3, Offset: 1}, confirms: true, readsFrom: listed, era: 3},
+		"endpoints":       {records: []ml.KeyRecord{record("e", "live@d", 1)}, next: &later, confirms: true, readsFrom: listed, era: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			ca := newCataloger()
+			applyListing(start, ca, listed, td.records...)
+			digest := ca.Digests()["t"]
+			g.Expect(ca.Confirm(start.Add(time.Second), "t", ml.Confirmation{Digest: digest, Next: td.next})).To(gomega.Equal(td.confirms))
+			g.Expect(ca.ReadPosition("t")).To(gomega.Equal(td.readsFrom))
+			g.Expect(ca.Era()).To(gomega.Equal(td.era))
+		})
+	}
+}
--- a/internal/state/cataloger/endpoint.go
+++ b/internal/state/cataloger/endpoint.go
@@ -14,7 +14,7 @@
 // learn from it that the endpoint is still listed.
 func (ca *Cataloger) applyEndpoint(now time.Time, re ml.KeyRecord) bool {
 	if ca.endpoints == nil {
-		ca.endpoints = make(map[ml.EndpointID]Listing)
+		ca.endpoints, ca.hasEndpoints = make(map[ml.EndpointID]Listing), make(map[ml.TopicName]bool)
 	}
 	id := ml.EndpointID(re.Key)
 	old, listed := ca.endpoints[id]
@@ -31,7 +31,7 @@
 	if ep.ColdRemaining > 0 {
 		li.ColdUntil = now.Add(ep.ColdRemaining)
 	}
-	ca.endpoints[id] = li
+	ca.endpoints[id], ca.hasEndpoints[re.Topic] = li, true
 	old.Sequence = ep.Sequence
 	if listed && old.RemovedAt.IsZero() && old.ListedEndpoint == ep && old.Era == re.Era {
 		return false
