fix: a log that is read, but never to its end, is not healthy

So an entry VM that was behind and stayed behind said that it knew the log, took claims and let callers wait for what it could not see in time. Now only a page that reaches the end counts; after 5 s without one calls that may not be repeated are refused at once, as while the log is away. Claims themselves were decided by the order of the log before, too.

--- a/internal/duty/follower/follower.go
+++ b/internal/duty/follower/follower.go
@@ -23,8 +23,8 @@
 const (
 	// maxPollWait bounds how long one read waits for new records.
 	maxPollWait = 2 * time.Second
-	// maxHealthyReadAge is the time after a successful read during which the
-	// log counts as reachable.
+	// maxHealthyReadAge is the time after a read to its end during which the
+	// log counts as known.
 	maxHealthyReadAge = 5 * time.Second
 	readTimeout       = 4 * time.Second
 	// maxRetryDelay bounds the random wait after a failed read.
@@ -44,7 +44,7 @@
 
 	mu        sync.Mutex
 	state     folder.StateMachine
-	lastRead  time.Time     // last successful read
+	lastAtEnd time.Time     // last read that reached the end of the log
 	caughtUp  bool          // the log was read to its end at least once
 	changed   chan struct{} // closed and replaced when the state changes
 	snapshots snapshotter
@@ -90,8 +90,9 @@
 		return err
 	}
 	recordsRead.Add(len(pa.Records))
-	fo.lastRead = now
-	fo.caughtUp = fo.caughtUp || fo.state.NextOffset() >= pa.End
+	if fo.state.NextOffset() >= pa.End {
+		fo.lastAtEnd, fo.caughtUp = now, true
+	}
 	fo.snapshots.observe(now, pa)
 	// The state is used only after the log was read to its end.
 	if fl := fo.state.Fleet(); fl != nil && fo.caughtUp {
@@ -107,11 +108,12 @@
 	fo.changed = make(chan struct{})
 }
 
-// Healthy reports whether the log was read to its end and can be reached.
+// Healthy reports whether the log was read to its end lately. One that is read, but never to its
+// end, tells nothing of what is newest.
 func (fo *Follower) Healthy(now time.Time) bool {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	return fo.caughtUp && now.Sub(fo.lastRead) < maxHealthyReadAge
+	return fo.caughtUp && now.Sub(fo.lastAtEnd) < maxHealthyReadAge
 }
 
 // Claim returns the claim on a key, or nil if the key may be claimed, and a
