fix: an entry VM that starts after the store's return ends no evacuation

What callers saw: the store came back from a copy without the newest evacuation, an entry VM was added, and within 2 s all entry VMs sent requests to that failure domain again, before the operator had written the evacuation again.

Cause: what an older copy lacks is dropped when the topic was read a minute after its first listing in the new era. That time was noted only where the topic had been listed in an earlier era. At an entry VM that had just started it was zero, the minute was over at once, and its deletion won everywhere as a record of the new era. Now the first listing counts too.

--- a/internal/state/cataloger/era.go
+++ b/internal/state/cataloger/era.go
@@ -101,7 +101,7 @@
 // recordListing records that all keys of a topic were listed. The caller must hold ca.mu.
 func (ca *Cataloger) recordListing(now time.Time, to ml.TopicName, end ml.Position) {
 	ca.observeEra(now, end.Era, fromStore)
-	if listed, known := ca.listedFrom[to]; known && listed.Era < end.Era {
+	if listed, known := ca.listedFrom[to]; !known || listed.Era < end.Era {
 		if ca.relistedAt == nil {
 			ca.relistedAt = make(map[ml.TopicName]time.Time)
 		}
--- a/internal/state/cataloger/era_test.go
+++ b/internal/state/cataloger/era_test.go
@@ -190,3 +190,30 @@
 	asked := map[ml.TopicName]ml.Position{"t": {Era: ml.UnknownEra, Offset: 2}}
 	g.Expect(current.RecordsFrom(asked).Records).To(gomega.HaveLen(1))
 }
+
+// TestStartedAfterCopy guards against an evacuation that ends at all entry VMs since one has started
+// after the store came back from a copy without it: what the others have passed on to that one has as
+// much time to be written again as at those that knew it before.
+func TestStartedAfterCopy(t *testing.T) {
+	const second = time.Second
+	for age, want := range map[time.Duration]int{3 * second: 0, 59 * second: 0, 61 * second: 1} {
+		t.Run(age.String(), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			published := []ml.KeyRecord{}
+			ca := newCountedCataloger()
+			ca.OnStoreRecords = func(records []ml.KeyRecord) { published = append(published, records...) }
+			ks := &keyedStore{era: 1}
+			ks.put("e1", "live@d#1")
+			ks.put("out/d", "y")
+			heard := ks.history
+			ks.restore(1)
+			ks.list(start, ca)
+			ca.Merge(start, heard, nil)
+			later := start.Add(age)
+			ca.ApplyRead(later, &attester.Read{Topic: "t", From: ks.end(), Next: ks.end(), End: ks.end().Offset, Current: later})
+			ca.DropOutdated(later)
+			g.Expect(published).To(gomega.HaveLen(want))
+			g.Expect(ca.Usable(later, "s")).To(gomega.HaveLen(want), "usable engines of the domain")
+		})
+	}
+}
