--- a/internal/duty/follower/follower_test.go
+++ b/internal/duty/follower/follower_test.go
@@ -40,7 +40,7 @@
 			go func() { done <- fo.Run(ctx) }()
 			defer func() {
 				cancel()
-				<-done
+				g.Expect(<-done).To(gomega.MatchError(context.Canceled))
 			}()
 			time.Sleep(1500 * time.Millisecond)
 			g.Expect(fo.Healthy(time.Now())).To(gomega.BeTrue())
