fix: few entry VMs begin to read the store in the same moment, however many there are

When nobody confirms what the entry VMs of a failure domain know, all of them begin to read within a tenth of the time that is left, evenly spread, and the first that has read spares the others the call. Those that began before they heard of it were a share of all: the more entry VMs, the more calls, while all catch up at once. Those that had been early drew anew, the late ones never, so that in time most were late.

Now some five, drawn at random, begin in the first part of that time, the others in the last part, when they have heard. All draw anew when others have read. The longest delay is as before, so what holds in time does too.

--- a/internal/duty/renewer/renewer.go
+++ b/internal/duty/renewer/renewer.go
@@ -16,8 +16,10 @@
 
 const (
 	// spread is the part of MaxAge that is added at random at the most, so that the first
-	// entry VM that reads spares the others the call.
-	spread = 0.1
+	// entry VM that reads spares the others the call. A few, earlyReaders in the mean, add no more
+	// than earlySpread, and the others at least lateSpread: by then they have heard.
+	spread, earlySpread, lateSpread = 0.1, 0.04, 0.07
+	earlyReaders                    = 5
 	// retryShare is the time from one failed read to the next, as a part of MaxAge. As much as
 	// a quarter of it is added at random.
 	retryShare = 1.1
@@ -33,6 +35,8 @@
 	Read func(ctx context.Context) error
 	// OnRead is called after each read that succeeded.
 	OnRead func()
+	// Peers returns how many other entry VMs hear of what this one reads. It may be nil, for none.
+	Peers func() int
 	// MaxAge is the age of ConfirmedAt from which on the topic is read. At 0 it never is.
 	MaxAge time.Duration
 	// StartDelay is the time after the start before which an entry VM without any
@@ -57,16 +61,21 @@
 	return ctx.Err()
 }
 
-// waitUntilStale returns when the newest confirmation is older than MaxAge and a random part
-// of it.
+// waitUntilStale returns when the newest confirmation is older than MaxAge and a random part of
+// it. That is drawn anew when others have read, so that no entry VM is always late: not for each of
+// several reads that some have begun in the same moment.
 func (re *Renewer) waitUntilStale(ctx context.Context, startedAt time.Time) {
 	if re.MaxAge <= 0 {
 		<-ctx.Done()
 		return
 	}
-	limit := re.MaxAge + rand.N(re.part(spread))
+	drawnFor, limit := re.ConfirmedAt(), re.MaxAge+re.delay()
 	for ctx.Err() == nil {
-		remaining := limit - re.age(time.Now(), startedAt)
+		at := re.ConfirmedAt()
+		if at.Sub(drawnFor) > re.MaxAge/2 {
+			drawnFor, limit = at, re.MaxAge+re.delay()
+		}
+		remaining := limit - age(time.Now(), at, startedAt)
 		if remaining <= 0 {
 			return
 		}
@@ -74,13 +83,24 @@
 	}
 }
 
-// age returns the age of the newest confirmation, or that of the start if it is newer.
-func (re *Renewer) age(now, startedAt time.Time) time.Duration {
-	at := re.ConfirmedAt()
-	if at.IsZero() {
+// delay returns a random time beyond MaxAge after which the topic is read.
+func (re *Renewer) delay() time.Duration {
+	peers := 0
+	if re.Peers != nil {
+		peers = re.Peers()
+	}
+	if rand.N(max(peers+1, 2*earlyReaders)) < earlyReaders {
+		return rand.N(re.part(earlySpread))
+	}
+	return re.part(lateSpread) + rand.N(re.part(spread-lateSpread))
+}
+
+// age returns the age of a confirmation, or that of the start if there is none.
+func age(now, confirmedAt, startedAt time.Time) time.Duration {
+	if confirmedAt.IsZero() {
 		return now.Sub(startedAt)
 	}
-	return ml.Age(now, at)
+	return ml.Age(now, confirmedAt)
 }
 
 func (re *Renewer) read(ctx context.Context, sentAt time.Time) error {
--- a/internal/duty/renewer/renewer_test.go
+++ b/internal/duty/renewer/renewer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"testing"
@@ -166,3 +167,49 @@
 		})
 	}
 }
+
+// TestFewReadAtOnce guards against a share of the fleet that reads the store in the same moment: however
+// many entry VMs learn from each other, few have begun when they hear of the first that has read.
+func TestFewReadAtOnce(t *testing.T) {
+	const rounds, newsTime, maxReads = 100, 30 * time.Millisecond, 18 // in the mean of a round
+	for _, n := range []int{5, 22, 44, 65, 190} {
+		t.Run(fmt.Sprintf("%d entry VMs", n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				stores := make([]*store, n)
+				for i := range stores {
+					stores[i] = &store{confirmedAt: time.Now()}
+				}
+				for _, st := range stores {
+					st.startAmong(ctx, stores, newsTime)
+				}
+				time.Sleep(rounds * maxAge)
+				reads := 0
+				for _, st := range stores {
+					st.set(func() { reads += st.reads })
+				}
+				t.Logf("%d reads in %d rounds", reads, rounds)
+				g.Expect(reads).To(gomega.BeNumerically("<=", rounds*maxReads))
+			})
+		})
+	}
+}
+
+// startAmong starts a renewer from which others hear what it has confirmed, after a time.
+func (st *store) startAmong(ctx context.Context, others []*store, newsTime time.Duration) {
+	re := &renewer.Renewer{
+		Topic: "t", ConfirmedAt: st.at, Read: st.read, MaxAge: maxAge, Log: slog.New(slog.DiscardHandler),
+		Peers: func() int { return len(others) - 1 },
+	}
+	re.OnRead = func() {
+		at := st.at()
+		time.AfterFunc(newsTime, func() {
+			for _, other := range others {
+				other.confirm(at)
+			}
+		})
+	}
+	go func() { _ = re.Run(ctx) }()
+}
