fix: an answer of the store that another one has overtaken brings nothing back

An answer that came after a newer listing was applied as if it were new: an engine, or a domain out of service, that had been deleted between the two came back, and since the reader goes on from the newer position it stayed until the next listing, while the topic counted as confirmed. Now a record from before the position up to which all is known is dropped, also if the store has sent it; a listing that comes late brings only what came after that position.

Red before: TestLateAnswerOfTheStore.

--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -121,8 +121,11 @@
 // marked as deleted, and it confirms that all is known. Changes are passed to OnStoreRecords, but
 // for those of the first listing of the topic: they are new to none of the other entry VMs.
 func (ca *Cataloger) ApplyListing(now time.Time, li *attester.Listing) {
-	isFirst := !ca.IsTopicListed(li.Topic())
-	changed := ca.mergeAll(now, li.Records(), fromStore)
+	isFirst, so := !ca.IsTopicListed(li.Topic()), fromListing
+	if li.End().Compare(ca.ReadPosition(li.Topic())) < 0 {
+		so = fromStore // it has come late
+	}
+	changed := ca.mergeAll(now, li.Records(), so)
 	if li.IsWhole() {
 		changed = append(changed, ca.deleteUnlisted(now, li)...)
 	}
@@ -144,7 +147,7 @@
 const (
 	fromStore   source = "store"
 	fromPeer    source = "peer"
-	fromListing source = "listing" // a deletion that a listing shows
+	fromListing source = "listing" // of all keys, as new as what is known
 )
 
 // raise raises positions to others that are later.
@@ -187,7 +190,7 @@
 		ca.records[re.Topic] = keys
 	}
 	old, found := keys[re.Key]
-	if found && !ca.isNewer(old, re) || !found && ca.isUnstated(re) || so == fromPeer && ca.isPast(re) {
+	if found && !ca.isNewer(old, re) || !found && ca.isUnstated(re) || so != fromListing && ca.isPast(re) {
 		return false
 	}
 	if ca.isUnstated(re) {
@@ -200,7 +203,8 @@
 }
 
 // isPast reports whether a record comes before the position up to which all is known, so that it has
-// been replaced or deleted since if it is not known. The caller must hold ca.mu.
+// been replaced or deleted since if it is not known: another entry VM has passed it on late, or the
+// store's answer has come late. The caller must hold ca.mu.
 func (ca *Cataloger) isPast(re ml.KeyRecord) bool {
 	read, listed := ca.read[re.Topic], ca.listedFrom[re.Topic]
 	return re.Era == read.Era && re.Era == listed.Era && re.Offset < read.Offset
--- a/internal/state/cataloger/cataloger_test.go
+++ b/internal/state/cataloger/cataloger_test.go
@@ -161,6 +161,25 @@
 	g.Expect(ca.Usable(start, "s")).To(gomega.HaveLen(1), "the domain is in service, and the endpoint new")
 }
 
+// TestLateAnswerOfTheStore guards against an endpoint, or a domain out of service, that comes back by an
+// answer of the store that another one has overtaken: the reads of one entry VM may overlap.
+func TestLateAnswerOfTheStore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ca := newCataloger()
+	applyListing(start, ca, ml.Position{Offset: 1})
+	late := readFrom(start, 1, 3, record("e", "live@a", 1), record("out/b", "y", 2))
+	listed := attester.NewListing("t", ml.Position{Offset: 3}, start)
+	listed.AddPage([]ml.KeyRecord{record("e", "live@a", 1), record("f", "live@a", 5)}, true)
+	applyListing(start, ca, ml.Position{Offset: 5})
+	ca.ApplyRead(start, late)
+	g.Expect(ca.Usable(start, "s")).To(gomega.BeEmpty(), "a read")
+	ca.ApplyListing(start, listed)
+	usable := ca.Usable(start, "s")
+	g.Expect(usable).To(gomega.HaveLen(1), "a listing")
+	g.Expect(usable[0].ID).To(gomega.Equal(ml.EndpointID("f")), "what came after")
+	g.Expect(ca.RecordsFrom(nil).Records).NotTo(gomega.ContainElement(record("out/b", "y", 2)))
+}
+
 // TestDeparture checks that an endpoint that has said that it leaves isn't used, whatever its
 // record says, until it starts again, and that this isn't forgotten while it is listed.
 func TestDeparture(t *testing.T) {
