fix: what an entry VM has heard before it takes over a listing is checked against it

An engine of which it had heard before, by a late message, stayed in use although it was gone, and so did a domain out of service. Now such keys are deleted, as those that a listing of the store lacks. For that the other one passes on all that it knows of a topic that isn't listed here yet (ListedPositions).

--- a/internal/duty/sharer/records.go
+++ b/internal/duty/sharer/records.go
@@ -85,7 +85,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	own := sh.Catalog.NextPositions()
+	own := sh.Catalog.ListedPositions()
 	reply, err := sh.Peers.Records(callCtx, address, own)
 	if err != nil {
 		sh.Log.Warn("store records not fetched from peer", "peer", address, "error", err)
--- a/internal/state/cataloger/cataloger.go
+++ b/internal/state/cataloger/cataloger.go
@@ -312,6 +312,20 @@
 	return ca.read[to]
 }
 
+// ListedPositions returns, for each topic that has been listed, the position up to which all is
+// known, so that another entry VM need not pass on what comes before it.
+func (ca *Cataloger) ListedPositions() map[ml.TopicName]ml.Position {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	out := ca.nextPositions()
+	for to := range out {
+		if _, listed := ca.listedFrom[to]; !listed {
+			delete(out, to)
+		}
+	}
+	return out
+}
+
 // NextPositions returns, for each topic, the position up to which this entry VM can tell
 // others what it knows.
 func (ca *Cataloger) NextPositions() map[ml.TopicName]ml.Position {
@@ -353,24 +367,10 @@
 // Keys with records at or after the listing's end stay, and for a time those of an earlier era. It
 // returns the deletions that change the catalog.
 func (ca *Cataloger) deleteUnlisted(now time.Time, li *attester.Listing) []ml.KeyRecord {
-	listed := make(map[string]bool, len(li.Records()))
-	for _, re := range li.Records() {
-		listed[re.Key] = true
-	}
+	listed := keysOf(li.Topic(), li.Records())
 	ca.mu.Lock()
 	ca.recordListing(now, li.Topic(), li.End())
-	deletions, lost := []ml.KeyRecord{}, []ml.PartID{}
-	for key, re := range ca.records[li.Topic()] {
-		switch {
-		case listed[key] || re.Value == nil || re.Position().Compare(li.End()) >= 0:
-		case re.Era == li.End().Era:
-			deletions = append(deletions, deletion(li.Topic(), key, li.End()))
-		default:
-			if part, _, found := ca.Decoder.Part(re); found {
-				lost = append(lost, part)
-			}
-		}
-	}
+	deletions, lost := ca.unlisted(li.Topic(), listed, li.End()), ca.lostParts(li.Topic(), listed, li.End().Era)
 	ca.mu.Unlock()
 	changed := ca.mergeAll(now, deletions, fromListing)
 	ca.mu.Lock()
@@ -385,6 +385,18 @@
 	return changed
 }
 
+// lostParts returns the parts of prompts whose records a listing of a later era lacks. The caller must
+// hold ca.mu.
+func (ca *Cataloger) lostParts(to ml.TopicName, listed map[string]bool, era ml.Era) []ml.PartID {
+	out := []ml.PartID{}
+	for key, re := range ca.records[to] {
+		if part, _, found := ca.Decoder.Part(re); found && !listed[key] && re.Value != nil && re.Era < era {
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
 // deletion returns a record of the deletion of a key before the end of a listing.
 func deletion(to ml.TopicName, key string, end ml.Position) ml.KeyRecord {
 	return ml.KeyRecord{Topic: to, Key: key, Era: end.Era, Offset: end.Offset - 1}
--- a/internal/state/cataloger/digest_test.go
+++ b/internal/state/cataloger/digest_test.go
@@ -78,6 +78,23 @@
 	g.Expect(fresh.ReadPosition("t")).To(gomega.Equal(ml.Position{Offset: 20}), "what was read here counts")
 }
 
+// TestAdoptWithoutWhatIsGone guards against an endpoint that an entry VM which has just started goes on
+// using, since it heard of it by a late message before it took over a listing without it.
+func TestAdoptWithoutWhatIsGone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	old, fresh := newCataloger(), newCataloger()
+	applyListing(start, old, ml.Position{Offset: 5}, record("e1", "live@a", 3))
+	fresh.Merge(start, []ml.KeyRecord{record("gone", "live@a", 1), record("new", "live@a", 6)}, nil)
+	reply := old.RecordsFrom(fresh.ListedPositions())
+	fresh.Merge(start, reply.Records, reply.Covered(nil))
+	fresh.Adopt(start, &reply)
+	usable := []ml.EndpointID{}
+	for _, li := range fresh.Usable(start, "s") {
+		usable = append(usable, li.ID)
+	}
+	g.Expect(usable).To(gomega.Equal([]ml.EndpointID{"e1", "new"}))
+}
+
 // TestRestartLearnsWhatLeft guards against an entry VM that was restarted, learns from another
 // one and uses an endpoint that had left, or a key that had been withdrawn: deletions and
 // states are passed on, and an older configuration that arrives late changes nothing.
